--- /dev/null
+++ b/src/base/mailbox.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+// A queue of messages into one task. Any thread may post; only the owner takes.
+
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <utility>
+
+namespace savoryscale {
+
+template<class Message>
+class mailbox {
+public:
+    // `wake` interrupts the owner's event loop; it is called after each post, from the poster's
+    // thread, and must be safe there.
+    explicit mailbox(std::function<void()> wake = {}) : wake_{std::move(wake)} {}
+
+    // Replaces the wake function. Call before the first post.
+    void on_post(std::function<void()> wake) { wake_ = std::move(wake); }
+
+    void post(Message message)
+    {
+        {
+            const std::lock_guard lock{mutex_};
+            queue_.push_back(std::move(message));
+        }
+        if (wake_) {
+            wake_();
+        }
+    }
+
+    // Takes everything queued so far, in order of posting.
+    std::deque<Message> take()
+    {
+        const std::lock_guard lock{mutex_};
+        return std::exchange(queue_, {});
+    }
+
+private:
+    std::mutex mutex_;
+    std::deque<Message> queue_;
+    std::function<void()> wake_;
+};
+
+} // namespace savoryscale
--- /dev/null
+++ b/src/base/random.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+// The generator that every randomized decision takes by reference.
+
+#include <cstdint>
+#include <random>
+
+namespace savoryscale {
+
+using random_source = std::mt19937_64;
+
+// Uniform integer in [0, bound). `bound` must be positive. The mapping is fixed here, since the
+// standard distributions differ between libraries and would change the bench signature.
+inline std::uint64_t uniform_below(random_source& random, std::uint64_t bound)
+{
+    return random() % bound;
+}
+
+// Uniform real in [0, 1).
+inline double uniform_unit(random_source& random)
+{
+    constexpr double scale = 1.0 / 9007199254740992.0; // 2^-53
+    return static_cast<double>(random() >> 11) * scale;
+}
+
+} // namespace savoryscale
--- /dev/null
+++ b/src/peer/fact.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+// Versioned facts that entry hosts tell each other. For one kind and subject the higher version
+// wins, so that merging is commutative and idempotent.
+
+#include <cstdint>
+#include <string>
+
+namespace savoryscale::peer {
+
+enum class fact_kind : std::uint8_t {
+    configuration = 1, // subject: ""; version: of the lists; payload: their canonical text
+    target_drain = 2,  // subject: "service/ip:port"; version: its incarnation; payload: ""
+    suspicion =
+        3,    // subject: request fingerprint, hexadecimal; version: deaths seen; payload: targets
+    host = 4, // subject: host id; version: incarnation and counter; payload: peer.host_state
+};
+
+// One fact. A fact with a lifetime is forgotten when it has passed since it was first heard.
+struct fact {
+    fact_kind kind_ = fact_kind::host;
+    std::string subject_;
+    std::uint64_t version_ = 0;
+    std::string payload_;
+    std::uint32_t lifetime_s_ = 0; // 0: kept until a newer one replaces it
+
+    friend bool operator==(const fact&, const fact&) = default;
+};
+
+} // namespace savoryscale::peer
--- /dev/null
+++ b/src/routing/target.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+// What routing is told about targets, and what it answers with.
+
+#include "base/clock.hpp"
+#include "settings/settings.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace savoryscale::routing {
+
+// Names a target within one service view; never reused while the process lives.
+using target_index = std::uint32_t;
+
+// One target as the host list, the settings or a peer describe it.
+struct target_info {
+    settings::endpoint address_;
+    std::string data_centre_;
+    bool leaving_ = false;
+    std::uint64_t incarnation_ = 0; // grows when the target restarts at the same address
+};
+
+// Load as a target reports it, in an answer's headers or in a probe's answer.
+struct load_report {
+    double requests_in_flight_ = 0;
+    double utilization_ = 0; // 0 to 1 of its slots
+    bool draining_ = false;
+};
+
+// How one attempt ended, as far as routing cares.
+enum class attempt_end : std::uint8_t {
+    answered, // a complete answer that is no server error
+    failed,   // a complete answer with a server error
+    shed,     // refused by the target with proof that it did not run
+    broken,   // the connection failed or closed early
+    crashed,  // the target closed it and refuses new connections
+    timeout,  // no answer within the deadline
+    abandoned // cancelled by us: the caller left, or a hedge won
+};
+
+// The end of one attempt. `latency_` runs from the sending to the end of the header.
+struct attempt_report {
+    target_index target_ = 0;
+    attempt_end end_ = attempt_end::answered;
+    duration latency_{};
+    std::optional<load_report> load_;
+};
+
+} // namespace savoryscale::routing
--- /dev/null
+++ b/src/settings/parse.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+// Reads settings from JSON with comments.
+
+#include "base/error.hpp"
+#include "settings/settings.hpp"
+
+#include <string_view>
+
+namespace savoryscale::settings {
+
+// Parses and validates settings text. `name` is the file name used in errors. Returns every fault
+// found in one pass, each with the file, the JSON pointer and the remedy.
+checked<settings> parse(std::string_view text, std::string_view name);
+
+// Reads and parses the file. A file that cannot be read is one fault of kind not_found.
+checked<settings> load(const std::string& file);
+
+} // namespace savoryscale::settings
--- /dev/null
+++ b/src/settings/settings.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+// Settings of one process: where it is, what it listens on, and which systems it talks to. They are
+// read once at start; the two lists (plans/) are what operators change while it runs.
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savoryscale::settings {
+
+using std::chrono::milliseconds;
+
+// An IP number and a port. Names are not resolved anywhere.
+struct endpoint {
+    std::string ip_;
+    std::uint16_t port_ = 0;
+
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+};
+
+// Certificate and key of a TLS listener, as file names; PEM.
+struct tls_identity {
+    std::string certificate_file_;
+    std::string key_file_;
+};
+
+// Who this host is.
+struct host {
+    std::string id_;          // unique among hosts; "/host/id"
+    std::string data_centre_; // "/host/data_centre"
+    std::string region_;      // "/host/region"
+    std::uint32_t hosts_max_ =
+        24; // entry hosts that may ever run at once; divides every fleet-wide total
+};
+
+// Where callers connect.
+struct listener {
+    endpoint address_;
+    std::optional<tls_identity> tls_;
+    std::uint32_t max_connections_ = 4096;
+    std::uint32_t max_header_bytes_ = 16384;
+    milliseconds idle_timeout_{60000}; // a connection without a request closes after this
+    milliseconds header_timeout_{
+        10000};                   // from the first byte of a request to the end of its header
+    milliseconds stop_lag_{3000}; // keeps accepting for this long after readiness fails
+};
+
+// The exchange between entry hosts. CURVE keys are Z85, 40 characters.
+struct peer_exchange {
+    endpoint address_;
+    std::string public_key_;
+    std::string secret_key_;
+    std::vector<std::string> trusted_keys_; // public keys of peers; empty: own key only
+    std::vector<endpoint> seeds_;           // peers to try before the host list is known
+};
+
+// The platform's object API and host list.
+struct platform {
+    std::vector<endpoint> object_api_;
+    std::vector<endpoint> host_list_;
+    milliseconds call_timeout_{1000};
+    std::uint32_t calls_per_second_ = 20; // cap of this host on calls of every kind
+};
+
+// One target named in the settings. Targets of the host list are added to these.
+struct static_target {
+    endpoint address_;
+    std::string data_centre_;
+};
+
+// How one service of the upstreams is served.
+struct service {
+    std::string name_;
+    std::string path_prefix_; // requests whose path starts with it go to this service
+    std::vector<static_target> targets_;
+    bool tls_ = false; // TLS towards its targets
+    std::vector<std::string> repeatable_methods_{"GET", "HEAD", "OPTIONS"};
+    std::vector<int> not_run_statuses_;     // an upstream's status that proves it did not run
+    std::string not_run_header_;            // or a header that proves it, by presence
+    milliseconds deadline_{5000};           // when the caller names none, and at most
+    milliseconds body_idle_timeout_{30000}; // a body without progress for this long is broken off
+    std::uint32_t slots_per_target_ = 2;
+    std::uint32_t connections_per_target_ = 200;   // all entry hosts together
+    std::uint32_t probes_per_second_ = 100;        // all entry hosts together; 0: never probe
+    std::uint32_t probe_bytes_per_second_ = 50000; // all entry hosts together
+    std::string probe_path_ = "/load";
+    milliseconds cold_start_{2000};
+    double retry_ratio_ = 0.1; // extra attempts per first attempt, at most
+    bool hedge_ = true;        // repeatable requests only
+};
+
+// Where spans go.
+struct tracing {
+    std::optional<endpoint> collector_; // OTLP/JSON over HTTP; none: spans are not kept
+    double sample_ratio_ = 0.01;
+    std::uint32_t queue_spans_ = 4096;
+};
+
+// How state changes are logged.
+struct logging {
+    bool json_ = true;           // JSON lines; else plain text
+    std::string level_ = "info"; // debug, info, warning, error
+};
+
+// All settings of one process.
+struct settings {
+    host host_;
+    listener listen_;
+    std::optional<endpoint> admin_; // metrics, /ready, /live
+    std::optional<peer_exchange> peer_;
+    platform platform_;
+    std::vector<service> services_;
+    tracing tracing_;
+    logging logging_;
+    std::string customer_header_ = "X-Customer"; // names the customer of a request
+};
+
+} // namespace savoryscale::settings
