--- /dev/null
+++ b/src/admission/quarantine.cpp
@@ -0,0 +1,274 @@
+#include "admission/quarantine.hpp"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace savoryscale::admission {
+
+namespace {
+
+constexpr char cleared_mark = '!';
+constexpr char separator = ',';
+constexpr std::size_t death_name_max = 128; // bytes
+constexpr int hexadecimal = 16;
+
+std::uint32_t open_deaths(const suspect& suspect)
+{
+    const auto is_open = [](const auto& entry) { return !entry.second.cleared_; };
+    return static_cast<std::uint32_t>(
+        std::count_if(suspect.deaths_.begin(), suspect.deaths_.end(), is_open));
+}
+
+const suspect* find_suspect(const quarantine& quarantine, fingerprint request, time_point now)
+{
+    const auto found = quarantine.suspects_.find(request);
+    const bool alive = found != quarantine.suspects_.end() && now < found->second.expires_at_;
+    return alive ? &found->second : nullptr;
+}
+
+bool is_running(const quarantine& quarantine, fingerprint request)
+{
+    const auto is_it = [request](const running_request& one) { return one.request_ == request; };
+    return std::any_of(quarantine.running_.begin(), quarantine.running_.end(), [&](const auto& at) {
+        return std::any_of(at.second.begin(), at.second.end(), is_it);
+    });
+}
+
+void extend(suspect& suspect, time_point now)
+{
+    const bool confirmed = open_deaths(suspect) >= deaths_until_refused;
+    const time_point until = now + (confirmed ? refusal_lifetime : suspicion_lifetime);
+    suspect.expires_at_ = std::max(suspect.expires_at_, until);
+}
+
+// Makes room for one: the expired first, else the one that expires next.
+void make_room(quarantine& quarantine, time_point now)
+{
+    if (quarantine.suspects_.size() < suspects_max) {
+        return;
+    }
+    std::erase_if(quarantine.suspects_,
+                  [now](const auto& entry) { return entry.second.expires_at_ <= now; });
+    if (quarantine.suspects_.size() < suspects_max) {
+        return;
+    }
+    const auto expires_first = [](const auto& left, const auto& right) {
+        return left.second.expires_at_ < right.second.expires_at_;
+    };
+    quarantine.suspects_.erase(
+        std::min_element(quarantine.suspects_.begin(), quarantine.suspects_.end(), expires_first));
+}
+
+suspect& suspect_at(quarantine& quarantine, fingerprint request, time_point now)
+{
+    if (find_suspect(quarantine, request, now) == nullptr) {
+        quarantine.suspects_.erase(request);
+        make_room(quarantine, now);
+    }
+    return quarantine.suspects_[request];
+}
+
+// Adds a crash unless it is known: a run that began after the last known crash of this target saw
+// another one.
+void add_death(suspect& suspect, std::string_view target, time_point started, time_point now)
+{
+    for (std::size_t count = 1; suspect.deaths_.size() < deaths_kept_max; ++count) {
+        const auto [place, added] =
+            suspect.deaths_.try_emplace(fmt::format("{}#{}", target, count), death{false, now});
+        if (added || started <= place->second.heard_at_) {
+            return;
+        }
+    }
+}
+
+bool clear(quarantine& quarantine, fingerprint request)
+{
+    const auto found = quarantine.suspects_.find(request);
+    if (found == quarantine.suspects_.end() || open_deaths(found->second) == 0) {
+        return false;
+    }
+    for (auto& [name, death] : found->second.deaths_) {
+        death.cleared_ = true;
+    }
+    return true;
+}
+
+struct named_death {
+    std::string_view name_;
+    bool cleared_ = false;
+};
+
+std::optional<std::vector<named_death>> parse_deaths(std::string_view text)
+{
+    std::vector<named_death> deaths;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(separator), text.size());
+        named_death one{text.substr(0, end)};
+        text.remove_prefix(std::min(end + 1, text.size()));
+        if (!one.name_.empty() && one.name_.back() == cleared_mark) {
+            one.cleared_ = true;
+            one.name_.remove_suffix(1);
+        }
+        if (one.name_.empty() || one.name_.size() > death_name_max ||
+            deaths.size() == deaths_kept_max) {
+            return std::nullopt;
+        }
+        deaths.push_back(one);
+    }
+    return deaths;
+}
+
+std::optional<fingerprint> parse_fingerprint(std::string_view text)
+{
+    fingerprint request = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, request, hexadecimal);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return request;
+}
+
+bool merge_death(suspect& suspect, const named_death& heard, time_point now)
+{
+    const auto known = suspect.deaths_.find(heard.name_);
+    if (known == suspect.deaths_.end()) {
+        if (suspect.deaths_.size() == deaths_kept_max) {
+            return false;
+        }
+        suspect.deaths_.emplace(heard.name_, death{heard.cleared_, now});
+        return true;
+    }
+    const bool news = heard.cleared_ && !known->second.cleared_;
+    known->second.cleared_ |= heard.cleared_;
+    return news;
+}
+
+} // namespace
+
+fingerprint fingerprint_of(const request_identity& request)
+{
+    XXH64_hash_t hash = request.body_digest_;
+    for (const std::string_view part :
+         {request.method_, request.path_, request.customer_, request.idempotency_key_}) {
+        hash = XXH64(part.data(), part.size(), hash + part.size());
+    }
+    return hash;
+}
+
+void started(quarantine& quarantine, fingerprint request, std::string_view target, time_point now)
+{
+    auto running = quarantine.running_.find(target);
+    if (running == quarantine.running_.end()) {
+        running = quarantine.running_.emplace(target, std::vector<running_request>{}).first;
+    }
+    running->second.push_back({request, now});
+}
+
+bool ended(quarantine& quarantine, fingerprint request, std::string_view target, bool finished)
+{
+    const auto running = quarantine.running_.find(target);
+    if (running != quarantine.running_.end()) {
+        auto& requests = running->second;
+        const auto is_it = [request](const auto& one) { return one.request_ == request; };
+        const auto place = std::find_if(requests.begin(), requests.end(), is_it);
+        if (place != requests.end()) {
+            requests.erase(place);
+        }
+        if (requests.empty()) {
+            quarantine.running_.erase(running);
+        }
+    }
+    return finished && clear(quarantine, request);
+}
+
+std::vector<fingerprint> target_crashed(quarantine& quarantine, std::string_view target,
+                                        time_point now)
+{
+    std::vector<fingerprint> raised;
+    const auto running = quarantine.running_.find(target);
+    if (running == quarantine.running_.end()) {
+        return raised;
+    }
+    for (const auto& one : running->second) {
+        suspect& suspect = suspect_at(quarantine, one.request_, now);
+        add_death(suspect, target, one.started_at_, now);
+        extend(suspect, now);
+        if (std::find(raised.begin(), raised.end(), one.request_) == raised.end()) {
+            raised.push_back(one.request_);
+        }
+    }
+    quarantine.running_.erase(running);
+    return raised;
+}
+
+bool refused(const quarantine& quarantine, fingerprint request, time_point now)
+{
+    const suspect* known = find_suspect(quarantine, request, now);
+    if (known == nullptr) {
+        return false;
+    }
+    const std::uint32_t deaths = open_deaths(*known);
+    return deaths >= deaths_until_refused || (deaths > 0 && is_running(quarantine, request));
+}
+
+bool runs_other_suspect(const quarantine& quarantine, fingerprint request, std::string_view target,
+                        time_point now)
+{
+    const auto running = quarantine.running_.find(target);
+    if (running == quarantine.running_.end()) {
+        return false;
+    }
+    const auto is_other = [&](const running_request& one) {
+        const suspect* known = find_suspect(quarantine, one.request_, now);
+        return one.request_ != request && known != nullptr && open_deaths(*known) > 0;
+    };
+    return std::any_of(running->second.begin(), running->second.end(), is_other);
+}
+
+peer::fact suspicion_of(const quarantine& quarantine, fingerprint request)
+{
+    peer::fact told;
+    told.kind_ = peer::fact_kind::suspicion;
+    told.subject_ = fmt::format("{:016x}", request);
+    told.lifetime_s_ = static_cast<std::uint32_t>(refusal_lifetime.count());
+    const auto known = quarantine.suspects_.find(request);
+    if (known == quarantine.suspects_.end()) {
+        return told;
+    }
+    for (const auto& [name, death] : known->second.deaths_) {
+        told.version_ += death.cleared_ ? 2 : 1;
+        told.payload_ += told.payload_.empty() ? "" : std::string{separator};
+        told.payload_ += name;
+        told.payload_ += death.cleared_ ? std::string{cleared_mark} : "";
+    }
+    return told;
+}
+
+result<bool> merge(quarantine& quarantine, const peer::fact& heard, time_point now)
+{
+    const auto request = parse_fingerprint(heard.subject_);
+    const auto deaths = parse_deaths(heard.payload_);
+    if (!request || !deaths) {
+        return tl::unexpected{error{error_kind::invalid, heard.subject_, "malformed suspicion",
+                                    "run the same release on every host"}};
+    }
+    if (deaths->empty()) {
+        return false;
+    }
+    suspect& suspect = suspect_at(quarantine, *request, now);
+    bool news = false;
+    for (const auto& one : *deaths) {
+        news |= merge_death(suspect, one, now);
+    }
+    if (news) {
+        extend(suspect, now);
+    }
+    return news;
+}
+
+} // namespace savoryscale::admission
--- /dev/null
+++ b/src/admission/token_bucket.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+// A rate limit with a burst.
+
+#include "base/clock.hpp"
+
+#include <algorithm>
+
+namespace savoryscale::admission {
+
+// Set both limits before use. A new bucket is full.
+struct token_bucket {
+    double rate_ = 0;  // tokens a second
+    double burst_ = 0; // tokens held at most
+    double tokens_ = 0;
+    time_point filled_at_{};
+};
+
+// Adds what has come in since the last call.
+inline void refill(token_bucket& bucket, time_point now)
+{
+    const std::chrono::duration<double> passed = now - bucket.filled_at_;
+    if (passed.count() > 0) {
+        bucket.tokens_ = std::min(bucket.burst_, bucket.tokens_ + passed.count() * bucket.rate_);
+        bucket.filled_at_ = now;
+    }
+}
+
+// Time until one token is there; the longest duration when the rate is zero.
+inline duration time_to_token(const token_bucket& bucket)
+{
+    if (bucket.tokens_ >= 1) {
+        return duration::zero();
+    }
+    if (bucket.rate_ <= 0) {
+        return duration::max();
+    }
+    const double seconds = (1 - bucket.tokens_) / bucket.rate_;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds});
+}
+
+} // namespace savoryscale::admission
--- /dev/null
+++ b/src/routing/service_view.cpp
@@ -0,0 +1,185 @@
+#include "routing/service_view.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace savoryscale::routing {
+
+namespace {
+
+constexpr double hedge_quantile = 0.95;
+
+bool is_eligible(const target_state& target, std::span<const target_index> exclude,
+                 target_index index)
+{
+    if (!target.listed_ || target.info_.leaving_ || target.drain_heard_) {
+        return false;
+    }
+    return std::find(exclude.begin(), exclude.end(), index) == exclude.end();
+}
+
+std::vector<target_index> eligible_targets(const service_view& view,
+                                           std::span<const target_index> exclude)
+{
+    std::vector<target_index> eligible;
+    for (target_index index = 0; index < view.targets_.size(); ++index) {
+        if (is_eligible(view.targets_[index], exclude, index)) {
+            eligible.push_back(index);
+        }
+    }
+    return eligible;
+}
+
+target_index index_of(service_view& view, const target_info& info, time_point now)
+{
+    std::string key = fmt::format("{}:{}", info.address_.ip_, info.address_.port_);
+    const auto next = static_cast<target_index>(view.targets_.size());
+    const auto [place, added] = view.by_address_.try_emplace(std::move(key), next);
+    if (added) {
+        target_state fresh;
+        fresh.info_ = info;
+        if (view.listed_once_) {
+            fresh.born_ = now;
+        }
+        view.targets_.push_back(std::move(fresh));
+    }
+    return place->second;
+}
+
+// A new server at a known address: forgets all but the own attempts that have not ended.
+void restart(target_state& target, const target_info& info, time_point now)
+{
+    target_state fresh;
+    fresh.info_ = info;
+    fresh.in_flight_ = target.in_flight_;
+    fresh.started_ = std::move(target.started_);
+    fresh.born_ = now;
+    target = std::move(fresh);
+}
+
+void hear_load(target_state& target, const load_report& load, time_point now)
+{
+    if (load.draining_) {
+        target.drain_heard_ = now;
+    }
+    const double foreign = std::max(0.0, load.requests_in_flight_ - target.in_flight_);
+    target.load_ = heard_load{load.requests_in_flight_, foreign, now};
+}
+
+} // namespace
+
+service_view make_view(const settings::service& service, std::string_view own_data_centre,
+                       policy chosen)
+{
+    service_view view;
+    view.data_centre_ = own_data_centre;
+    view.policy_ = chosen;
+    view.slots_per_target_ = service.slots_per_target_;
+    view.cold_start_ = service.cold_start_;
+    view.hedge_ = service.hedge_;
+    view.retries_.ratio_ = service.retry_ratio_;
+    return view;
+}
+
+void update_targets(service_view& view, std::span<const target_info> targets, time_point now)
+{
+    for (auto& target : view.targets_) {
+        target.listed_ = false;
+    }
+    for (const auto& info : targets) {
+        target_state& target = view.targets_[index_of(view, info, now)];
+        if (info.incarnation_ > target.info_.incarnation_) {
+            restart(target, info, now);
+        }
+        else if (info.incarnation_ == target.info_.incarnation_) {
+            target.info_ = info;
+        }
+        target.listed_ = true;
+    }
+    view.listed_once_ = true;
+}
+
+std::optional<target_index> choose(service_view& view, std::span<const target_index> exclude,
+                                   time_point /*now*/, random_source& random)
+{
+    const auto eligible = eligible_targets(view, exclude);
+    if (eligible.empty()) {
+        return std::nullopt;
+    }
+    const target_index first = eligible[uniform_below(random, eligible.size())];
+    const target_index second = eligible[uniform_below(random, eligible.size())];
+    return view.targets_[second].in_flight_ < view.targets_[first].in_flight_ ? second : first;
+}
+
+const settings::endpoint& address_of(const service_view& view, target_index target)
+{
+    return view.targets_.at(target).info_.address_;
+}
+
+void attempt_started(service_view& view, target_index index, time_point now)
+{
+    target_state& target = view.targets_.at(index);
+    ++target.in_flight_;
+    target.started_.push_back(now);
+    attempt_counted(view.retries_);
+}
+
+void attempt_ended(service_view& view, const attempt_report& report, time_point now)
+{
+    target_state& target = view.targets_.at(report.target_);
+    if (target.in_flight_ > 0) {
+        --target.in_flight_;
+        target.started_.erase(target.started_.begin());
+    }
+    if (report.end_ == attempt_end::answered) {
+        add(view.latencies_, report.latency_);
+    }
+    if (report.load_) {
+        hear_load(target, *report.load_, now);
+    }
+}
+
+void set_probe_share(service_view& view, double probes_per_second)
+{
+    set_share(view.probes_, probes_per_second);
+}
+
+std::optional<target_index> next_probe(service_view& view, time_point now, random_source& random)
+{
+    const auto eligible = eligible_targets(view, {});
+    if (eligible.empty() || !take_probe(view.probes_, now)) {
+        return std::nullopt;
+    }
+    const target_index chosen = eligible[uniform_below(random, eligible.size())];
+    view.targets_[chosen].probed_at_ = now;
+    return chosen;
+}
+
+void probe_ended(service_view& view, target_index index, std::optional<load_report> load,
+                 time_point now)
+{
+    if (load) {
+        hear_load(view.targets_.at(index), *load, now);
+    }
+}
+
+std::optional<duration> hedge_after(const service_view& view, time_point /*now*/)
+{
+    if (!view.hedge_ || !has_extra(view.retries_, hedge_reserve)) {
+        return std::nullopt;
+    }
+    return quantile(view.latencies_, hedge_quantile);
+}
+
+bool take_retry(service_view& view, time_point /*now*/)
+{
+    return take_extra(view.retries_, 0);
+}
+
+bool take_hedge(service_view& view, time_point /*now*/)
+{
+    return take_extra(view.retries_, hedge_reserve);
+}
+
+} // namespace savoryscale::routing
