Add the interfaces to the object API and the host list, and the status record

Cause: peers, the serving host and the operator's commands need one contract for what they ask the platform and for what a reporting host writes about the versions its data centre holds. Change: object_client and host_list_client as narrow abstract classes; status_record with print and parse. A version that is negative is refused, since wrapping would read as newer than anything. Tests: tests/platform_test.cpp; with the sign check taken out, refuses_what_is_no_record fails.

--- /dev/null
+++ b/src/platform/host_list.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+// The platform's list of live and leaving hosts, as messages. The list lags.
+
+#include "platform/object_api.hpp"
+#include "settings/settings.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace savoryscale::platform {
+
+enum class host_kind : std::uint8_t {
+    entry,  // a host of this system; its address is that of the peer exchange
+    target, // an upstream's target
+};
+
+// One host as the list shows it.
+struct listed_host {
+    std::string id_;
+    host_kind kind_ = host_kind::entry;
+    std::string service_; // targets only
+    std::string data_centre_;
+    settings::endpoint address_;
+    std::uint64_t incarnation_ = 0; // grows when the host restarts at the same address
+    bool leaving_ = false;
+
+    friend bool operator==(const listed_host&, const listed_host&) = default;
+};
+
+// status_ is ok or tells why there is no list.
+struct host_list_reply {
+    call_status status_ = call_status::unknown;
+    std::vector<listed_host> hosts_;
+};
+
+class host_list_client {
+public:
+    host_list_client() = default;
+    host_list_client(const host_list_client&) = delete;
+    host_list_client& operator=(const host_list_client&) = delete;
+    host_list_client(host_list_client&&) = delete;
+    host_list_client& operator=(host_list_client&&) = delete;
+    virtual ~host_list_client() = default;
+
+    // Reads the whole list. `done` is run exactly once, on the client's own thread or inside fetch.
+    virtual void fetch(duration timeout, std::function<void(host_list_reply)> done) = 0;
+};
+
+} // namespace savoryscale::platform
--- /dev/null
+++ b/src/platform/status_record.cpp
@@ -0,0 +1,71 @@
+#include "platform/status_record.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace savoryscale::platform {
+
+namespace {
+
+using nlohmann::json;
+
+error bad_record(std::string what)
+{
+    return {error_kind::invalid, "status record", std::move(what),
+            "wait for the data centre's reporter to write it again"};
+}
+
+// A version; negative and broken numbers are refused rather than wrapped.
+std::uint64_t version_at(const json& host)
+{
+    const json& version = host.at("held_version");
+    if (!version.is_number_unsigned()) {
+        throw json::type_error::create(302, "held_version is no whole number", &version);
+    }
+    return version.get<std::uint64_t>();
+}
+
+} // namespace
+
+std::string status_key(std::string_view data_centre)
+{
+    return std::string{status_prefix} + std::string{data_centre};
+}
+
+std::string print(const status_record& record)
+{
+    json hosts = json::array();
+    for (const held_report& host : record.hosts_) {
+        hosts.push_back({{"id", host.id_},
+                         {"held_version", host.held_version_},
+                         {"behind_reason", host.behind_reason_}});
+    }
+    const json root{{"data_centre", record.data_centre_},
+                    {"reporter", record.reporter_},
+                    {"written_ms", record.written_ms_},
+                    {"hosts", std::move(hosts)}};
+    return root.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+result<status_record> parse_status_record(std::string_view text)
+{
+    const json root = json::parse(text, nullptr, false);
+    if (root.is_discarded()) {
+        return tl::unexpected{bad_record("is no JSON")};
+    }
+    try {
+        status_record record;
+        record.data_centre_ = root.at("data_centre").get<std::string>();
+        record.reporter_ = root.at("reporter").get<std::string>();
+        record.written_ms_ = root.at("written_ms").get<std::int64_t>();
+        for (const json& host : root.at("hosts")) {
+            record.hosts_.push_back({host.at("id").get<std::string>(), version_at(host),
+                                     host.at("behind_reason").get<std::string>()});
+        }
+        return record;
+    }
+    catch (const json::exception& fault) {
+        return tl::unexpected{bad_record(fault.what())};
+    }
+}
+
+} // namespace savoryscale::platform
