Add the configuration keeper of an entry host

Cause: a host must never move to an older version, through stale reads, silent watches, lagging peers and starts with the object API down. Change: plans/keeper decides by events and time alone: what to read, when to watch, what to hold and when the host is ready. Entries of the lists get a stamp: version and time they were last set at.

--- /dev/null
+++ b/src/plans/entry.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+// Entries of the two lists: their names and digests. A change touches entries; versions, conflicts
+// and removals are all counted by entry.
+
+#include "plans/lists.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace savoryscale::plans {
+
+enum class list_kind : std::uint8_t { customers, plans };
+
+// Names one entry of one list.
+struct entry_id {
+    list_kind list_ = list_kind::customers;
+    std::string name_;
+
+    friend auto operator<=>(const entry_id&, const entry_id&) = default;
+};
+
+// JSON pointer of the entry in a file of the lists, such as "/customers/mobile-buyers".
+std::string to_pointer(const entry_id& entry);
+
+// Digest of an entry's content; its stamp is left out. Equal contents have equal digests.
+std::uint64_t digest(const customer& entry);
+std::uint64_t digest(const plan& entry);
+
+} // namespace savoryscale::plans
--- /dev/null
+++ b/src/plans/keeper.cpp
@@ -0,0 +1,188 @@
+#include "plans/keeper.hpp"
+
+#include "platform/object_api.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryscale::plans {
+
+namespace {
+
+using platform::call_status;
+
+// Doublings after which the backoff no longer grows.
+constexpr std::uint32_t max_backoff_doublings = 16;
+
+duration backoff(const keeper& state, random_source& random)
+{
+    const keeper_options& options = state.options_;
+    const auto doublings = std::min(state.failures_, max_backoff_doublings);
+    const duration ceiling =
+        std::min(options.backoff_max_, options.backoff_min_ * (std::int64_t{1} << doublings));
+    const auto spread = static_cast<std::uint64_t>((ceiling - options.backoff_min_).count());
+    return options.backoff_min_ +
+           duration{static_cast<std::int64_t>(uniform_below(random, spread + 1))};
+}
+
+// Takes the text if it is newer than what is held. Returns whether it was taken.
+bool offer(keeper& state, std::string_view text)
+{
+    if (state.in_force_ && text == state.text_) {
+        return false;
+    }
+    auto parsed = parse_configuration(text, configuration_key);
+    if (!parsed) {
+        ++state.counters_.invalid_refused_;
+        return false;
+    }
+    const std::uint64_t offered = parsed->lists_.version_;
+    if (offered < held_version(state)) {
+        ++state.counters_.older_ignored_;
+        return false;
+    }
+    if (state.in_force_ && offered == held_version(state)) {
+        if (*parsed != *state.in_force_) {
+            ++state.counters_.diverged_refused_;
+        }
+        return false;
+    }
+    state.text_ = print(*parsed);
+    state.in_force_ = std::move(*parsed);
+    ++state.counters_.adopted_;
+    return true;
+}
+
+keeper_action start_read(keeper& state, time_point now)
+{
+    state.next_read_.reset();
+    state.call_ = keeper_call::read;
+    state.call_started_ = now;
+    return {keeper_action_kind::read_store, 0, state.options_.read_timeout_};
+}
+
+keeper_action start_watch(keeper& state, time_point now)
+{
+    state.next_read_.reset();
+    state.call_ = keeper_call::watch;
+    state.call_started_ = now;
+    return {keeper_action_kind::watch_store, state.store_version_, state.options_.watch_timeout_};
+}
+
+bool is_answer(call_status status)
+{
+    return status == call_status::ok || status == call_status::not_found;
+}
+
+// Plans what follows an answer that brought nothing usable.
+void plan_retry(keeper& state, keeper_call failed, time_point now, random_source& random)
+{
+    if (!state.watcher_ && state.ready_) {
+        return;
+    }
+    // A watch that fell silent says nothing about the object API: read at once, then back off.
+    const bool read_at_once = failed == keeper_call::watch && state.failures_ == 1;
+    state.next_read_ = read_at_once ? now : now + backoff(state, random);
+}
+
+} // namespace
+
+keeper make_keeper(const keeper_options& options, time_point now, random_source& random)
+{
+    keeper state;
+    state.options_ = options;
+    state.started_ = now;
+    const auto spread = static_cast<std::uint64_t>(options.start_jitter_.count());
+    state.next_read_ = now + duration{static_cast<std::int64_t>(uniform_below(random, spread + 1))};
+    return state;
+}
+
+std::uint64_t held_version(const keeper& state)
+{
+    return state.in_force_ ? state.in_force_->lists_.version_ : 0;
+}
+
+keeper_actions on_timer(keeper& state, time_point now)
+{
+    if (state.call_ != keeper_call::none || !state.next_read_ || now < *state.next_read_) {
+        return {};
+    }
+    return {start_read(state, now)};
+}
+
+keeper_actions on_store_reply(keeper& state, const platform::object_reply& reply, time_point now,
+                              random_source& random)
+{
+    const keeper_call call = std::exchange(state.call_, keeper_call::none);
+    keeper_actions actions;
+    bool news = false;
+    if (reply.status_ == call_status::ok && !reply.objects_.empty()) {
+        const platform::object& stored = reply.objects_.front();
+        news = stored.version_ > state.store_version_;
+        state.store_version_ = std::max(state.store_version_, stored.version_);
+        if (offer(state, stored.value_)) {
+            actions.push_back({keeper_action_kind::adopted, 0, {}});
+        }
+    }
+    // A watch that returns early without news would be asked again and again at full speed.
+    const bool idle_watch = call == keeper_call::watch && !news &&
+                            now - state.call_started_ < state.options_.watch_timeout_ / 2;
+    if (!is_answer(reply.status_) || idle_watch) {
+        ++state.counters_.store_failures_;
+        ++state.failures_;
+        plan_retry(state, call, now, random);
+        return actions;
+    }
+    state.failures_ = 0;
+    state.store_answered_ = true;
+    if (state.watcher_) {
+        actions.push_back(start_watch(state, now));
+    }
+    return actions;
+}
+
+keeper_actions on_peer_configuration(keeper& state, std::string_view text)
+{
+    if (!offer(state, text)) {
+        return {};
+    }
+    return {{keeper_action_kind::adopted, 0, {}}};
+}
+
+void on_peers_heard(keeper& state, peers_heard heard)
+{
+    state.peers_ = heard;
+}
+
+keeper_actions set_watcher(keeper& state, bool watcher, time_point now)
+{
+    if (watcher == std::exchange(state.watcher_, watcher)) {
+        return {};
+    }
+    if (!watcher || state.call_ != keeper_call::none) {
+        return {};
+    }
+    // What is in the object API may have changed since the last read.
+    return {start_read(state, now)};
+}
+
+bool is_ready(keeper& state, time_point now)
+{
+    if (state.ready_ || !state.in_force_) {
+        return state.ready_;
+    }
+    const duration waited = now - state.started_;
+    const bool all_peers = state.peers_ == peers_heard::all;
+    const bool store_and_grace = state.store_answered_ && waited >= state.options_.peer_grace_;
+    const bool peers_and_grace =
+        state.peers_ == peers_heard::some && waited >= state.options_.store_grace_;
+    state.ready_ = all_peers || store_and_grace || peers_and_grace;
+    return state.ready_;
+}
+
+std::optional<time_point> next_wake(const keeper& state)
+{
+    return state.call_ == keeper_call::none ? state.next_read_ : std::nullopt;
+}
+
+} // namespace savoryscale::plans
--- a/src/plans/lists.hpp
+++ b/src/plans/lists.hpp
@@ -8,6 +8,14 @@
 
 namespace savoryscale::plans {
 
+// When an entry was last set.
+struct stamp {
+    std::uint64_t version_ = 0; // of the lists that the change made
+    std::int64_t set_ms_ = 0;   // wall clock of the operator's machine, since the epoch; for people
+
+    friend bool operator==(const stamp&, const stamp&) = default;
+};
+
 // Who goes first when a service is short of capacity.
 enum class priority : std::uint8_t { low, normal, high };
 
@@ -26,6 +34,7 @@
 struct plan {
     std::string name_;
     std::vector<allowance> allowances_;
+    stamp stamp_;
 
     friend bool operator==(const plan&, const plan&) = default;
 };
@@ -34,6 +43,7 @@
 struct customer {
     std::string name_;
     std::string plan_;
+    stamp stamp_;
 
     friend bool operator==(const customer&, const customer&) = default;
 };
