--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -7,15 +7,42 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+plans::plan plan_of(std::string name, plans::allowance sales)
+{
+    plans::plan made;
+    made.name_ = std::move(name);
+    made.allowances_.push_back(std::move(sales));
+    return made;
+}
+
+plans::customer customer_on(std::string name, std::string plan)
+{
+    plans::customer made;
+    made.name_ = std::move(name);
+    made.plan_ = std::move(plan);
+    return made;
+}
+
+plans::lists two_customers()
+{
+    plans::lists made;
+    made.version_ = 1;
+    made.customers_ = {customer_on("acme", "gold"), customer_on("bulk", "tin")};
+    made.plans_ = {plan_of("gold", {"sales", 100, 10, 5, plans::priority::high}),
+                   plan_of("tin", {"sales", 100, 50, 50, plans::priority::low})};
+    return made;
+}
+
+} // namespace
+
 TEST_GROUP(admission)
 {
     random_source random_{7};
     time_point now_{seconds{1000}};
     state state_ = make_state(1);
-    plans::lists lists_{1,
-                        {{"acme", "gold"}, {"bulk", "tin"}},
-                        {{"gold", {{"sales", 100, 10, 5, plans::priority::high}}},
-                         {"tin", {{"sales", 100, 50, 50, plans::priority::low}}}}};
+    plans::lists lists_ = two_customers();
 
     verdict ask(std::string_view customer)
     {
@@ -60,7 +87,7 @@
 {
     set_lists(state_, lists_, now_);
     CHECK(ask("nobody").reason_ == refusal::not_allowed);
-    lists_.plans_.push_back({"default", {{"sales", 1, 2, 9, plans::priority::low}}});
+    lists_.plans_.push_back(plan_of("default", {"sales", 1, 2, 9, plans::priority::low}));
     set_lists(state_, lists_, now_);
     for (int customer = 0; customer < 1000; ++customer) {
         const bool admitted = ask("x" + std::to_string(customer)).admitted();
@@ -87,10 +114,10 @@
 TEST(admission, a_call_admitted_as_unknown_is_released_after_the_customer_became_known)
 {
     auto with_default = lists_;
-    with_default.plans_.push_back({"default", {{"sales", 1, 1, 1, plans::priority::low}}});
+    with_default.plans_.push_back(plan_of("default", {"sales", 1, 1, 1, plans::priority::low}));
     set_lists(state_, with_default, now_);
     CHECK(ask("late").admitted());
-    with_default.customers_.push_back({"late", "gold"});
+    with_default.customers_.push_back(customer_on("late", "gold"));
     set_lists(state_, with_default, now_);
     release(state_, "late", "sales");
     LONGS_EQUAL(0, state_.loads_["sales"].in_flight_);
@@ -100,7 +127,7 @@
 TEST(admission, idle_accounts_are_forgotten)
 {
     for (int number = 0; number < 500; ++number) {
-        lists_.customers_.push_back({"c" + std::to_string(number), "gold"});
+        lists_.customers_.push_back(customer_on("c" + std::to_string(number), "gold"));
     }
     set_lists(state_, lists_, now_);
     for (int number = 0; number < 500; ++number) {
