--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -1,5 +1,7 @@
 #include "routing/service_view.hpp"
 
+#include "routing/selection.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -9,6 +11,7 @@
 namespace {
 
 constexpr double hedge_quantile = 0.95;
+constexpr double latency_weight = 0.2;
 
 bool is_eligible(const target_state& target, std::span<const target_index> exclude,
                  target_index index)
@@ -58,13 +61,23 @@
     target = std::move(fresh);
 }
 
-void hear_load(target_state& target, const load_report& load, time_point now)
+// Moving average of the target's own latencies.
+void add_latency(target_state& target, duration latency, time_point now)
+{
+    const auto ns = static_cast<double>(latency.count());
+    target.latency_ns_ += latency_weight * (ns - target.latency_ns_);
+    target.latency_at_ = now;
+}
+
+void hear_load(service_view& view, target_index index, const load_report& load, time_point now)
 {
+    target_state& target = view.targets_[index];
     if (load.draining_) {
         target.drain_heard_ = now;
     }
     const double foreign = std::max(0.0, load.requests_in_flight_ - target.in_flight_);
     target.load_ = heard_load{load.requests_in_flight_, foreign, now};
+    add(view.reports_, {index, load.requests_in_flight_, now, 0});
 }
 
 } // namespace
@@ -101,15 +114,13 @@
 }
 
 std::optional<target_index> choose(service_view& view, std::span<const target_index> exclude,
-                                   time_point /*now*/, random_source& random)
+                                   time_point now, random_source& random)
 {
     const auto eligible = eligible_targets(view, exclude);
     if (eligible.empty()) {
         return std::nullopt;
     }
-    const target_index first = eligible[uniform_below(random, eligible.size())];
-    const target_index second = eligible[uniform_below(random, eligible.size())];
-    return view.targets_[second].in_flight_ < view.targets_[first].in_flight_ ? second : first;
+    return select(view, eligible, now, random);
 }
 
 const settings::endpoint& address_of(const service_view& view, target_index target)
@@ -134,9 +145,10 @@
     }
     if (report.end_ == attempt_end::answered) {
         add(view.latencies_, report.latency_);
+        add_latency(target, report.latency_, now);
     }
     if (report.load_) {
-        hear_load(target, *report.load_, now);
+        hear_load(view, report.target_, *report.load_, now);
     }
 }
 
@@ -160,7 +172,7 @@
                  time_point now)
 {
     if (load) {
-        hear_load(view.targets_.at(index), *load, now);
+        hear_load(view, index, *load, now);
     }
 }
 
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -8,6 +8,7 @@
 #include "routing/latency_histogram.hpp"
 #include "routing/policy.hpp"
 #include "routing/probe_budget.hpp"
+#include "routing/report_pool.hpp"
 #include "routing/retry_budget.hpp"
 #include "routing/target.hpp"
 #include "routing/target_state.hpp"
@@ -34,6 +35,7 @@
     std::vector<target_state> targets_;
     std::map<std::string, target_index, std::less<>> by_address_; // "ip:port"
     std::size_t next_in_turn_ = 0;                                // round robin
+    report_pool reports_;                                         // hot-cold
     latency_histogram latencies_;
     probe_budget probes_;
     retry_budget retries_;
--- a/src/routing/target.hpp
+++ b/src/routing/target.hpp
@@ -24,7 +24,8 @@
 
 // Load as a target reports it, in an answer's headers or in a probe's answer.
 struct load_report {
-    double requests_in_flight_ = 0;
+    double requests_in_flight_ =
+        0;                   // of all hosts, waiting or running, less the one that carries it
     double utilization_ = 0; // 0 to 1 of its slots
     bool draining_ = false;
 };
