Choose the target with the fewest requests in flight as far as can be known

Cause: with 13 hosts, own counts say little; a report in an answer is 2 to 30 ms old when it is used. Change: least_wait adds to the exact own count the other hosts' count from the last report, which fades towards the mean of all targets over two mean latencies.

--- /dev/null
+++ b/src/routing/expected_wait.cpp
@@ -0,0 +1,32 @@
+#include "routing/expected_wait.hpp"
+
+#include "routing/service_view.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savoryscale::routing {
+
+namespace {
+
+constexpr double fade_latencies = 2; // a report fades over this many mean latencies
+
+} // namespace
+
+double expected_in_flight(const service_view& view, const target_state& target, time_point now)
+{
+    const double unknown = view.mean_foreign_;
+    if (!target.load_) {
+        return target.in_flight_ + unknown;
+    }
+    const auto age = static_cast<double>((now - target.load_->at_).count());
+    const double fade = std::max(1.0, fade_latencies * view.mean_latency_ns_);
+    return target.in_flight_ + unknown + (target.load_->foreign_ - unknown) * std::exp(-age / fade);
+}
+
+double expected_wait(const service_view& view, const target_state& target, time_point now)
+{
+    return expected_in_flight(view, target, now);
+}
+
+} // namespace savoryscale::routing
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -1,5 +1,6 @@
 #include "routing/selection.hpp"
 
+#include "routing/expected_wait.hpp"
 #include "routing/service_view.hpp"
 
 #include <algorithm>
@@ -96,6 +97,14 @@
     return best->target_;
 }
 
+target_index pick_least_wait(const service_view& view, std::span<const target_index> eligible,
+                             time_point now, random_source& random)
+{
+    return pick_lowest(eligible, random, [&](target_index index) {
+        return expected_wait(view, view.targets_[index], now);
+    });
+}
+
 } // namespace
 
 target_index select(service_view& view, std::span<const target_index> eligible, time_point now,
@@ -109,8 +118,9 @@
     case policy::least_requests:
         return pick_least_requests(view, eligible, random);
     case policy::power_of_two:
-    case policy::least_wait:
         return pick_power_of_two(view, eligible, random);
+    case policy::least_wait:
+        return pick_least_wait(view, eligible, now, random);
     case policy::hot_cold:
         return pick_hot_cold(view, eligible, now, random);
     }
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -12,6 +12,7 @@
 
 constexpr double hedge_quantile = 0.95;
 constexpr double latency_weight = 0.2;
+constexpr double mean_weight = 0.01; // of one report in a mean over all targets
 
 bool is_eligible(const target_state& target, std::span<const target_index> exclude,
                  target_index index)
@@ -69,6 +70,18 @@
     target.latency_at_ = now;
 }
 
+// Removes the start nearest to the one given; the caller's clock and ours may differ a little.
+void forget_start(target_state& target, time_point started)
+{
+    const auto distance = [started](time_point one) {
+        return one < started ? started - one : one - started;
+    };
+    const auto nearest = std::min_element(
+        target.started_.begin(), target.started_.end(),
+        [&](time_point one, time_point other) { return distance(one) < distance(other); });
+    target.started_.erase(nearest);
+}
+
 void hear_load(service_view& view, target_index index, const load_report& load, time_point now)
 {
     target_state& target = view.targets_[index];
@@ -76,6 +89,7 @@
         target.drain_heard_ = now;
     }
     const double foreign = std::max(0.0, load.requests_in_flight_ - target.in_flight_);
+    view.mean_foreign_ += mean_weight * (foreign - view.mean_foreign_);
     target.load_ = heard_load{load.requests_in_flight_, foreign, now};
     add(view.reports_, {index, load.requests_in_flight_, now, 0});
 }
@@ -141,11 +155,13 @@
     target_state& target = view.targets_.at(report.target_);
     if (target.in_flight_ > 0) {
         --target.in_flight_;
-        target.started_.erase(target.started_.begin());
+        forget_start(target, now - report.latency_);
     }
     if (report.end_ == attempt_end::answered) {
         add(view.latencies_, report.latency_);
         add_latency(target, report.latency_, now);
+        const auto ns = static_cast<double>(report.latency_.count());
+        view.mean_latency_ns_ += mean_weight * (ns - view.mean_latency_ns_);
     }
     if (report.load_) {
         hear_load(view, report.target_, *report.load_, now);
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -36,6 +36,8 @@
     std::map<std::string, target_index, std::less<>> by_address_; // "ip:port"
     std::size_t next_in_turn_ = 0;                                // round robin
     report_pool reports_;                                         // hot-cold
+    double mean_foreign_ = 0; // moving average of the other hosts' requests in flight, all targets
+    double mean_latency_ns_ = 0; // moving average of answered attempts, all targets
     latency_histogram latencies_;
     probe_budget probes_;
     retry_budget retries_;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -34,6 +34,15 @@
     time_point now_{seconds{1000}};
     service_view view_ = make_view(settings::service{}, "mobile", policy::least_wait);
 
+    // An answer after 2 ms that reports the requests in flight.
+    void hear(target_index target, double in_flight)
+    {
+        attempt_started(view_, target, now_);
+        attempt_ended(view_,
+                      {target, attempt_end::answered, milliseconds{2}, load_report{in_flight, 0}},
+                      now_);
+    }
+
     std::set<target_index> chosen(int times)
     {
         std::set<target_index> seen;
@@ -79,6 +88,22 @@
     CHECK(chosen(200) == (std::set<target_index>{0, 1}));
 }
 
+TEST(routing, a_report_of_other_hosts_calls_counts_less_as_it_ages)
+{
+    update_targets(view_, targets(3), now_);
+    for (int time = 0; time < 1000; ++time) {
+        hear(0, 4);
+        hear(1, 4);
+    }
+    hear(2, 0);
+    CHECK(chosen(50) == std::set<target_index>{2});
+    attempt_started(view_, 2, now_);
+    attempt_started(view_, 2, now_);
+    now_ += seconds{1};
+    hear(0, 3);
+    CHECK(chosen(50) == std::set<target_index>{0});
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
