Expect more than the mean where nothing recent is known

Cause: a host that chooses an old report over a fresh one of about the mean loses what it knows. Change: reports fade towards 1.7 times the mean, so that fresh knowledge is preferred.

--- a/src/routing/expected_wait.cpp
+++ b/src/routing/expected_wait.cpp
@@ -9,13 +9,14 @@
 
 namespace {
 
-constexpr double fade_latencies = 2; // a report fades over this many mean latencies
+constexpr double fade_latencies = 2;   // a report fades over this many mean latencies
+constexpr double unknown_weight = 1.7; // on the mean where nothing recent is known
 
 } // namespace
 
 double expected_in_flight(const service_view& view, const target_state& target, time_point now)
 {
-    const double unknown = view.mean_foreign_;
+    const double unknown = unknown_weight * view.mean_foreign_;
     if (!target.load_) {
         return target.in_flight_ + unknown;
     }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -104,6 +104,18 @@
     CHECK(chosen(50) == std::set<target_index>{0});
 }
 
+TEST(routing, a_recent_report_of_the_mean_is_preferred_to_an_old_one)
+{
+    update_targets(view_, targets(2), now_);
+    for (int time = 0; time < 1000; ++time) {
+        hear(0, 2);
+        hear(1, 2);
+    }
+    now_ += seconds{1};
+    hear(1, 2);
+    CHECK(chosen(50) == std::set<target_index>{1});
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
