Prefer targets of the own data centre until they are busier

Cause: a far target costs a millisecond a call, and knowledge of a target is best kept by few hosts. Change: a far target must have 0.7 requests in flight less than a near one.

--- a/src/routing/expected_wait.cpp
+++ b/src/routing/expected_wait.cpp
@@ -11,6 +11,8 @@
 
 constexpr double fade_latencies = 2;   // a report fades over this many mean latencies
 constexpr double unknown_weight = 1.7; // on the mean where nothing recent is known
+constexpr double far_penalty =
+    0.7; // requests in flight that a target in another data centre must have less
 
 } // namespace
 
@@ -27,7 +29,8 @@
 
 double expected_wait(const service_view& view, const target_state& target, time_point now)
 {
-    return expected_in_flight(view, target, now);
+    const bool is_far = target.info_.data_centre_ != view.data_centre_;
+    return expected_in_flight(view, target, now) + (is_far ? far_penalty : 0);
 }
 
 } // namespace savoryscale::routing
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -116,6 +116,16 @@
     CHECK(chosen(50) == std::set<target_index>{1});
 }
 
+TEST(routing, the_own_data_centre_goes_first_and_spills_over)
+{
+    auto all = targets(2);
+    all[1].data_centre_ = "biloxi";
+    update_targets(view_, all, now_);
+    CHECK(chosen(50) == std::set<target_index>{0});
+    attempt_started(view_, 0, now_);
+    CHECK(chosen(50) == std::set<target_index>{1});
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
