--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr double hedge_quantile = 0.95;
+constexpr double hedge_quantile = 0.9;
 constexpr double latency_weight = 0.2;
 constexpr double mean_weight = 0.01; // of one report in a mean over all targets
 
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -126,6 +126,23 @@
     CHECK(chosen(50) == std::set<target_index>{1});
 }
 
+TEST(routing, a_hedge_waits_for_the_ninetieth_percentile_and_leaves_a_reserve_for_retries)
+{
+    update_targets(view_, targets(2), now_);
+    CHECK_FALSE(hedge_after(view_, now_).has_value());
+    for (int time = 0; time < 1000; ++time) {
+        attempt_started(view_, 0, now_);
+        const milliseconds latency{time % 100 < 88 ? 2 : 40};
+        attempt_ended(view_, {0, attempt_end::answered, latency, {}}, now_);
+    }
+    CHECK(hedge_after(view_, now_).value() >= milliseconds{40});
+    CHECK(hedge_after(view_, now_).value() <= milliseconds{48});
+    while (take_hedge(view_, now_)) {
+    }
+    CHECK_FALSE(hedge_after(view_, now_).has_value());
+    CHECK(take_retry(view_, now_));
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
