--- /dev/null
+++ b/fuzz/settings_fuzz.cpp
@@ -0,0 +1,25 @@
+// Settings text: any input gives settings or faults that name a place and a remedy.
+
+#include "settings/parse.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::string_view text{reinterpret_cast<const char*>(data), size};
+    const auto parsed = savoryscale::settings::parse(text, "fuzz");
+    if (parsed) {
+        return 0;
+    }
+    if (parsed.error().empty()) {
+        std::abort();
+    }
+    for (const auto& fault : parsed.error()) {
+        if (fault.where_.empty() || fault.what_.empty() || fault.remedy_.empty()) {
+            std::abort();
+        }
+    }
+    return 0;
+}
