Parse the two lists and print their canonical text

Cause: operators edit the lists as a file; hosts and the object API hold them as one value. Conclusion: equal configurations print equal bytes, so that hosts can compare text.

--- a/src/plans/configuration.hpp
+++ b/src/plans/configuration.hpp
@@ -54,4 +54,7 @@
 // that name an unknown plan are a fault, services are not checked.
 checked<configuration> parse_configuration(std::string_view text, std::string_view name);
 
+// The fault of a configuration that is too large to store.
+error size_fault(std::string_view where, std::size_t bytes);
+
 } // namespace savoryscale::plans
--- a/src/plans/entry.hpp
+++ b/src/plans/entry.hpp
@@ -5,9 +5,9 @@
 
 #include "plans/lists.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace savoryscale::plans {
 
@@ -18,7 +18,11 @@
     list_kind list_ = list_kind::customers;
     std::string name_;
 
-    friend auto operator<=>(const entry_id&, const entry_id&) = default;
+    friend bool operator==(const entry_id&, const entry_id&) = default;
+    friend bool operator<(const entry_id& a, const entry_id& b)
+    {
+        return std::tie(a.list_, a.name_) < std::tie(b.list_, b.name_);
+    }
 };
 
 // JSON pointer of the entry in a file of the lists, such as "/customers/mobile-buyers".
--- /dev/null
+++ b/src/plans/lists_json.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+// The JSON of the two lists that the operators' file and the stored configuration share: names,
+// plans and their allowances, with their limits.
+
+#include "plans/lists.hpp"
+#include "settings/json_node.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace savoryscale::plans {
+
+// Limits of names, in bytes, and of what a plan may grant.
+inline constexpr settings::limits name_bytes{1, 64};
+inline constexpr settings::limits calls_per_second_limits{0, 1'000'000};
+inline constexpr settings::limits burst_calls_limits{1, 1'000'000};
+inline constexpr settings::limits concurrency_limits{1, 100'000};
+
+// Records a fault when `name` is no name of a customer or a plan: letters, digits and "._@:-".
+void check_name(const settings::json_node& at, std::string_view name);
+
+// Reads one priority by its name.
+void read(const settings::json_node& at, priority& out, settings::limits bounds);
+
+// Reads the allowances of one plan: an object with a member for each service.
+void read(const settings::json_node& at, std::vector<allowance>& out, settings::limits bounds);
+
+// Runs `read_member(node, name)` for each member of an object.
+template<class Read>
+void read_members(const settings::json_node& at, Read read_member)
+{
+    if (!at.value_.is_object()) {
+        at.fail("is no object", "write its entries in curly braces");
+        return;
+    }
+    for (const auto& member : at.value_.items()) {
+        const settings::json_node node{member.value(), at.child_pointer(member.key()), at.faults_};
+        read_member(node, member.key());
+    }
+}
+
+// Records a fault for each customer on a plan that is not among the plans.
+void check_plans_exist(const lists& value, settings::fault_list& faults);
+
+// Prints the allowances of one plan on one line.
+std::string print_allowances(const std::vector<allowance>& allowances);
+
+// A JSON string, with quotes.
+std::string json_string(std::string_view text);
+
+// A digest as the files show it: 16 hexadecimal digits.
+std::string print_digest(std::uint64_t digest);
+
+// Reads a digest as print_digest writes it.
+void read_digest(const settings::json_node& at, std::uint64_t& out);
+
+// Prints an object with one member a line, as `print_member(item)` gives it.
+template<class Items, class Print>
+std::string print_members(const Items& items, std::string_view indent, Print print_member)
+{
+    std::string text = "{";
+    for (const auto& item : items) {
+        text += text.size() == 1 ? "\n" : ",\n";
+        text += indent;
+        text += print_member(item);
+    }
+    return text + "}";
+}
+
+} // namespace savoryscale::plans
