Carry a change through the object API, settling lost answers by reading

Cause: an answer can be lost after the write took effect, and a second blind write would hide that. Change: plans/applier is a state machine of reads and conditional writes. After a lost answer it only reads: the change is found by its id, or the object has passed the version the write was conditional on, or the end is unknown. An old copy, one before the file's base, is read again. Tests: the groups applying and keeping of tests/plans_test.cpp.

--- /dev/null
+++ b/src/plans/applier.cpp
@@ -0,0 +1,207 @@
+#include "plans/applier.hpp"
+
+#include "platform/object_api.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryscale::plans {
+
+namespace {
+
+using platform::call_status;
+
+// Doublings after which the backoff no longer grows.
+constexpr std::uint32_t max_backoff_doublings = 10;
+
+applier_step read_after(duration wait)
+{
+    applier_step step;
+    step.action_ = applier_action::read;
+    step.wait_ = wait;
+    return step;
+}
+
+applier_step done(apply_end end, std::uint64_t version, std::size_t entries,
+                  std::vector<error> faults)
+{
+    applier_step step;
+    step.report_ = {end, version, entries, std::move(faults)};
+    return step;
+}
+
+applier_step unknown(std::string what, std::string remedy)
+{
+    return done(apply_end::unknown, 0, 0,
+                {{error_kind::unknown, std::string{configuration_key}, std::move(what),
+                  std::move(remedy)}});
+}
+
+// A jittered wait that doubles with each of `times`.
+duration backoff(const applier& state, std::uint32_t times, random_source& random)
+{
+    const applier_options& options = state.options_;
+    const auto doublings = std::min(times, max_backoff_doublings);
+    const duration ceiling =
+        std::min(options.backoff_max_, options.backoff_min_ * (std::int64_t{1} << doublings));
+    const auto count = static_cast<std::uint64_t>(ceiling.count());
+    return duration{static_cast<std::int64_t>(count / 2 + uniform_below(random, count / 2 + 1))};
+}
+
+constexpr std::string_view run_again =
+    "run the same apply again when the object API answers: it does nothing if the change landed";
+
+applier_step after_failed_call(applier& state, random_source& random)
+{
+    ++state.failed_calls_;
+    if (state.failed_calls_ < state.options_.max_failed_calls_) {
+        return read_after(backoff(state, state.failed_calls_, random));
+    }
+    const bool may_have_landed = state.phase_ == applier_phase::settling;
+    return unknown(may_have_landed ? "the answer to the write was lost and the object API does not "
+                                     "answer reads: the change may have landed"
+                                   : "the object API does not answer; nothing was written",
+                   std::string{run_again});
+}
+
+// Judges the file against the lists just read.
+applier_step decide(applier& state, const configuration& stored, std::uint64_t object_version,
+                    std::int64_t now_ms, random_source& random)
+{
+    // The answer may come from a copy that lags behind what this file was pulled from.
+    const bool old_copy = stored.lists_.version_ < state.file_.base_version_;
+    if (old_copy && ++state.failed_calls_ < state.options_.max_failed_calls_) {
+        return read_after(backoff(state, state.failed_calls_, random));
+    }
+    change_result result = apply_change(stored, state.file_, now_ms);
+    const std::uint64_t version = result.next_.lists_.version_;
+    switch (result.verdict_) {
+    case verdict::already_in_force:
+        return done(apply_end::already_in_force, version, 0, {});
+    case verdict::refused_stale:
+        return done(apply_end::refused_stale, version, 0, std::move(result.faults_));
+    case verdict::refused_conflict:
+        return done(apply_end::refused_conflict, version, 0, std::move(result.faults_));
+    case verdict::refused_invalid:
+        return done(apply_end::refused_invalid, version, 0, std::move(result.faults_));
+    case verdict::applied:
+        break;
+    }
+    if (state.options_.dry_run_) {
+        return done(apply_end::applied, version, result.entries_, {});
+    }
+    state.phase_ = applier_phase::writing;
+    state.object_version_ = object_version;
+    state.written_version_ = version;
+    state.written_entries_ = result.entries_;
+    applier_step step;
+    step.action_ = object_version == 0 ? applier_action::create : applier_action::update;
+    step.text_ = print(result.next_);
+    step.expected_version_ = object_version;
+    return step;
+}
+
+// Tells from a read whether the write without an answer took effect. It was conditional on
+// object_version_, so once the object is past that version, it either did or never will.
+applier_step settle(applier& state, const configuration& stored, std::uint64_t object_version,
+                    std::int64_t now_ms, random_source& random)
+{
+    if (has_recent_change(stored, state.change_id_)) {
+        return done(apply_end::applied, state.written_version_, state.written_entries_, {});
+    }
+    if (object_version <= state.object_version_) {
+        if (++state.settling_reads_ < state.options_.max_settling_reads_) {
+            return read_after(backoff(state, state.settling_reads_, random));
+        }
+        return unknown("the answer to the write was lost, and it has not shown in the lists yet",
+                       std::string{run_again});
+    }
+    if (stored.lists_.version_ >= state.written_version_ + max_recent_changes) {
+        return unknown("the answer to the write was lost, and too many changes came since to tell "
+                       "whether it landed",
+                       std::string{run_again});
+    }
+    state.phase_ = applier_phase::reading;
+    return decide(state, stored, object_version, now_ms, random);
+}
+
+applier_step on_read(applier& state, const platform::object_reply& reply, std::int64_t now_ms,
+                     random_source& random)
+{
+    configuration stored;
+    std::uint64_t object_version = 0;
+    if (reply.status_ == call_status::ok && !reply.objects_.empty()) {
+        auto parsed = parse_configuration(reply.objects_.front().value_, configuration_key);
+        if (!parsed) {
+            return unknown("the lists in the object API do not parse: " +
+                               to_string(parsed.error().front()),
+                           "restore the object from a copy; nothing was written");
+        }
+        stored = std::move(*parsed);
+        object_version = reply.objects_.front().version_;
+    }
+    else if (reply.status_ != call_status::not_found) {
+        return after_failed_call(state, random);
+    }
+    if (state.phase_ == applier_phase::settling) {
+        return settle(state, stored, object_version, now_ms, random);
+    }
+    return decide(state, stored, object_version, now_ms, random);
+}
+
+applier_step on_write(applier& state, const platform::object_reply& reply, random_source& random)
+{
+    state.phase_ = applier_phase::reading;
+    switch (reply.status_) {
+    case call_status::ok:
+        return done(apply_end::applied, state.written_version_, state.written_entries_, {});
+    case call_status::conflict:
+    case call_status::not_found:
+        if (++state.races_ < state.options_.max_races_) {
+            return read_after(backoff(state, 0, random));
+        }
+        return unknown("other changes came first each time; nothing was written",
+                       "run the same apply again");
+    case call_status::rejected:
+        return done(apply_end::refused_invalid, state.written_version_ - 1, 0,
+                    {{error_kind::invalid, std::string{configuration_key},
+                      "the object API refused the lists as malformed or too large",
+                      "remove customers or plans that are no longer used"}});
+    case call_status::unknown:
+        state.phase_ = applier_phase::settling;
+        return read_after(backoff(state, 0, random));
+    case call_status::not_sent:
+    case call_status::unavailable:
+        break;
+    }
+    return after_failed_call(state, random);
+}
+
+} // namespace
+
+applier make_applier(edited_file file, const applier_options& options)
+{
+    applier state;
+    state.change_id_ = change_id(file);
+    state.file_ = std::move(file);
+    state.options_ = options;
+    return state;
+}
+
+applier_step first_step(const applier& /*state*/)
+{
+    return read_after({});
+}
+
+applier_step on_reply(applier& state, const platform::object_reply& reply, std::int64_t now_ms,
+                      random_source& random)
+{
+    if (state.phase_ == applier_phase::writing) {
+        return on_write(state, reply, random);
+    }
+    return on_read(state, reply, now_ms, random);
+}
+
+} // namespace savoryscale::plans
