Add the stand-in upstream: many targets in one process, with faults

Cause: the promises about whole answers, single runs and drains can only be judged from the far side, by a server that misbehaves on purpose and counts what reached it.

Change: standins/upstream runs targets on consecutive ports, each with slots and a FIFO queue, service times with noisy spells and a cold start, a drain, load reports that lag or mislead, and a seeded draw of one fault per request: stall, truncate, answer twice, answer late, surplus bytes, silence on established connections, fail fast, shed. X-Crash closes the target for a while. Bodies come from the request target, so that a caller can check every byte. The control port reports runs per commit id, connections at most, probes per second and requests after a drain. It uses Asio and Beast and not libwebsockets, so that it shares no fault with the product.

--- /dev/null
+++ b/standins/common/upstream_farm.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+// Many stand-in targets in one process, with their control requests.
+
+#include "base/error.hpp"
+#include "common/behaviour.hpp"
+#include "common/counters.hpp"
+#include "common/json_server.hpp"
+#include "common/target.hpp"
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace savoryscale::standins {
+
+class upstream_farm {
+public:
+    // Targets listen on consecutive ports from `first` on; each draws from its own seed.
+    upstream_farm(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& first,
+                  std::size_t count, const behaviour& traits, std::uint64_t seed);
+
+    void start();
+
+    // Answers one request of the control port:
+    //   GET  /control/counters[?commits=0]       what was counted
+    //   POST /control/behaviour[?targets=0,3]    JSON object of fields to change
+    //   POST /control/ACTION[?targets=0,3]       drain, restore, crash, silence or reset (counters)
+    control_reply control(const control_request& request);
+
+    target& at(std::size_t index) { return *targets_.at(index); }
+
+private:
+    control_reply counters(bool with_commits) const;
+    control_reply change(const std::vector<target*>& chosen, std::string_view text);
+    bool act(const std::vector<target*>& chosen, std::string_view action);
+    result<std::vector<target*>> choose(std::string_view list);
+
+    shared_counters shared_;
+    std::vector<std::unique_ptr<target>> targets_;
+};
+
+} // namespace savoryscale::standins
