Add the load generator, which checks answers and compares counts

Cause: tail latency and the promises about bodies, single runs and `not-run` need a caller that sends on schedule whatever the answers, knows each answer's bytes beforehand, and asks the far side afterwards what ran.

Change: standins/loadgen sends lookups, commits, downloads and killer requests over several entry hosts at a given rate (or each caller in turn, for a direct comparison), measures from the intended start, and keeps log-bucketed histograms. A commit breaches a promise if it entered a slot twice, if it was run more often than its answers other than `not-run` leave room for, or if it was answered and never run. Exit 1 on any breach.

--- /dev/null
+++ b/standins/common/histogram.cpp
@@ -0,0 +1,62 @@
+#include "common/histogram.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace savoryscale::standins {
+
+namespace {
+
+// Buckets within one doubling; values below it have a bucket each.
+constexpr std::uint64_t steps = 64;
+constexpr int step_bits = 6;
+
+std::size_t bucket_of(std::uint64_t value)
+{
+    if (value < steps) {
+        return value;
+    }
+    const int shift = static_cast<int>(std::bit_width(value)) - step_bits - 1;
+    return static_cast<std::size_t>(shift) * steps + (value >> shift);
+}
+
+// The largest value that falls into the bucket.
+std::uint64_t bucket_end(std::size_t bucket)
+{
+    if (bucket < 2 * steps) {
+        return bucket;
+    }
+    const std::size_t shift = bucket / steps - 1;
+    const std::uint64_t step = bucket - shift * steps;
+    return ((step + 1) << shift) - 1;
+}
+
+} // namespace
+
+void histogram::add(std::uint64_t microseconds)
+{
+    const std::size_t bucket = bucket_of(microseconds);
+    if (bucket >= buckets_.size()) {
+        buckets_.resize(bucket + 1);
+    }
+    ++buckets_[bucket];
+    ++count_;
+    max_ = std::max(max_, microseconds);
+}
+
+std::uint64_t histogram::at(double quantile) const
+{
+    const auto rank = std::max<std::uint64_t>(
+        1, static_cast<std::uint64_t>(std::ceil(quantile * static_cast<double>(count_))));
+    std::uint64_t seen = 0;
+    for (std::size_t bucket = 0; bucket < buckets_.size(); ++bucket) {
+        seen += buckets_[bucket];
+        if (seen >= rank) {
+            return std::min(bucket_end(bucket), max_);
+        }
+    }
+    return max_;
+}
+
+} // namespace savoryscale::standins
