--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -2,6 +2,7 @@
 
 // Subcommands of the savoryscale program.
 
+#include <iosfwd>
 #include <span>
 
 namespace savoryscale::cli {
@@ -15,7 +16,8 @@
     exit_unknown = 4,
 };
 
-// Runs the subcommand that arguments[1] names; returns the exit code.
-int run(std::span<char*> arguments);
+// Runs the subcommand that arguments[1] names; returns the exit code. Answers go to `out`, faults
+// to `err`.
+int run(std::span<char*> arguments, std::ostream& out, std::ostream& err);
 
 } // namespace savoryscale::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -2,9 +2,11 @@
 
 #include "cli/command.hpp"
 
+#include <iostream>
 #include <span>
 
 int main(int argc, char** argv)
 {
-    return savoryscale::cli::run(std::span<char*>{argv, static_cast<std::size_t>(argc)});
+    const std::span<char*> arguments{argv, static_cast<std::size_t>(argc)};
+    return savoryscale::cli::run(arguments, std::cout, std::cerr);
 }
