--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -154,9 +154,6 @@
     run(const scenario& scenario, policy policy, double budget, bool hedge)
         : scenario_{scenario}, budget_{budget}, hedge_{hedge}, random_{FLAGS_seed}
     {
-        end_ = start + in_ms(FLAGS_seconds * 1000);
-        fault_from_ = start + in_ms(FLAGS_seconds * 1000 * fault_from);
-        fault_to_ = start + in_ms(FLAGS_seconds * 1000 * fault_to);
         make_targets();
         make_hosts(policy);
     }
@@ -173,6 +170,11 @@
     }
 
 private:
+    static time_point part_of_run(double part)
+    {
+        return start + in_ms(FLAGS_seconds * 1000 * part);
+    }
+
     bool is_faulty(std::uint32_t target) const
     {
         return now_ >= fault_from_ && now_ < fault_to_ && target < faulty_targets;
@@ -535,9 +537,9 @@
     bool hedge_;
     random_source random_;
     time_point now_ = start;
-    time_point end_;
-    time_point fault_from_;
-    time_point fault_to_;
+    time_point end_ = part_of_run(1);
+    time_point fault_from_ = part_of_run(fault_from);
+    time_point fault_to_ = part_of_run(fault_to);
     std::vector<target> targets_;
     std::vector<service_view> hosts_;
     std::vector<random_source> randoms_;
