--- a/fuzz/replay.cpp
+++ b/fuzz/replay.cpp
@@ -1,4 +1,8 @@
-// Runs a fuzz target over the files of a folder, or over single files, given as arguments.
+// Runs a fuzz target over every file of the folders given as arguments. Fails if a folder is
+// missing or holds no file, so that a corpus cannot vanish unseen. scripts/fuzz builds without it,
+// since libFuzzer brings its own main().
+
+#ifndef SAVORYSCALE_LIBFUZZER
 
 #include <cstddef>
 #include <cstdint>
@@ -6,8 +10,8 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <span>
 #include <string>
-#include <vector>
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
 
@@ -20,24 +24,39 @@
     LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+// Replays every file below the folder; returns their number, 0 if there is no such folder.
+std::size_t replay_folder(const std::filesystem::path& folder)
 {
+    if (!std::filesystem::is_directory(folder)) {
+        return 0;
+    }
     std::size_t count = 0;
-    for (const std::string& argument : std::vector<std::string>(argv + 1, argv + argc)) {
-        if (!std::filesystem::is_directory(argument)) {
-            replay(argument);
+    for (const auto& entry : std::filesystem::recursive_directory_iterator{folder}) {
+        if (entry.is_regular_file()) {
+            replay(entry.path());
             ++count;
-            continue;
         }
-        for (const auto& entry : std::filesystem::recursive_directory_iterator{argument}) {
-            if (entry.is_regular_file()) {
-                replay(entry.path());
-                ++count;
-            }
+    }
+    return count;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc < 2) {
+        std::fprintf(stderr, "no folder given; name the corpus\n");
+        return 1;
+    }
+    for (const char* folder : std::span{argv, static_cast<std::size_t>(argc)}.subspan(1)) {
+        const std::size_t count = replay_folder(folder);
+        if (count == 0) {
+            std::fprintf(stderr, "%s: missing or empty; add inputs to it\n", folder);
+            return 1;
         }
+        std::printf("%s: %zu inputs replayed\n", folder, count);
     }
-    std::printf("%zu inputs replayed\n", count);
-    return count == 0 ? 1 : 0;
+    return 0;
 }
+
+#endif
