Count a slow target's latency above the mean as requests in flight

Cause: a straggler with a short queue looked as good as any target. Change: each mean latency above the mean costs half a request in flight, at most five, and fades over a second without news. Trials that also used the age of the oldest own request, or multiplied instead of adding, were no better.

--- a/src/routing/expected_wait.cpp
+++ b/src/routing/expected_wait.cpp
@@ -11,8 +11,24 @@
 
 constexpr double fade_latencies = 2;   // a report fades over this many mean latencies
 constexpr double unknown_weight = 1.7; // on the mean where nothing recent is known
-constexpr double far_penalty =
-    0.7; // requests in flight that a target in another data centre must have less
+// A target in another data centre must have this many requests in flight less than a near one.
+constexpr double far_penalty = 0.7;
+
+// Requests in flight that count like one mean latency above the mean.
+constexpr double slow_penalty = 0.5;
+constexpr double slow_latencies_max = 10;
+constexpr double slow_fade_ns = 1e9;
+
+// How many mean latencies the target's own are above the mean; fades when nothing more is heard.
+double latencies_above_mean(const service_view& view, const target_state& target, time_point now)
+{
+    if (target.latency_ns_ <= view.mean_latency_ns_ || view.mean_latency_ns_ <= 0) {
+        return 0;
+    }
+    const auto age = static_cast<double>((now - target.latency_at_).count());
+    const double above = target.latency_ns_ / view.mean_latency_ns_ - 1;
+    return std::min(above, slow_latencies_max) * std::exp(-age / slow_fade_ns);
+}
 
 } // namespace
 
@@ -30,7 +46,8 @@
 double expected_wait(const service_view& view, const target_state& target, time_point now)
 {
     const bool is_far = target.info_.data_centre_ != view.data_centre_;
-    return expected_in_flight(view, target, now) + (is_far ? far_penalty : 0);
+    return expected_in_flight(view, target, now) + (is_far ? far_penalty : 0) +
+           slow_penalty * latencies_above_mean(view, target, now);
 }
 
 } // namespace savoryscale::routing
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -34,6 +34,12 @@
     time_point now_{seconds{1000}};
     service_view view_ = make_view(settings::service{}, "mobile", policy::least_wait);
 
+    void answer_after(target_index target, duration latency)
+    {
+        attempt_started(view_, target, now_ - latency);
+        attempt_ended(view_, {target, attempt_end::answered, latency, {}}, now_);
+    }
+
     // An answer after 2 ms that reports the requests in flight.
     void hear(target_index target, double in_flight)
     {
@@ -143,6 +149,25 @@
     CHECK(take_retry(view_, now_));
 }
 
+TEST(routing, a_straggler_is_avoided_and_tried_again_later)
+{
+    update_targets(view_, targets(10), now_);
+    for (int time = 0; time < 200; ++time) {
+        for (target_index other = 1; other < 10; ++other) {
+            answer_after(other, milliseconds{2});
+        }
+        answer_after(0, milliseconds{60});
+    }
+    for (target_index other = 1; other < 10; ++other) {
+        attempt_started(view_, other, now_);
+    }
+    const auto seen = chosen(100);
+    CHECK(seen.count(0) == 0);
+    CHECK(!seen.empty());
+    now_ += seconds{20};
+    CHECK(chosen(50) == std::set<target_index>{0});
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
