Eject targets that fail more than the others, with a floor

Cause: a target that fails fast reports no load and attracted a fifth of all calls. Change: the load of failed answers is not believed; failures above the service's mean count as up to 20 requests in flight; a target failing more than half of its calls, and a quarter more than the mean, is ejected for 1 s doubling to 32 s, then tried by one call at a time; with fewer than half of the targets left, all are used; what an earlier incarnation does is not counted.

--- a/src/routing/expected_wait.cpp
+++ b/src/routing/expected_wait.cpp
@@ -1,5 +1,6 @@
 #include "routing/expected_wait.hpp"
 
+#include "routing/ejection.hpp"
 #include "routing/service_view.hpp"
 
 #include <algorithm>
@@ -19,6 +20,9 @@
 constexpr double slow_latencies_max = 10;
 constexpr double slow_fade_ns = 1e9;
 
+// Requests in flight that count like failing every time while the others never do.
+constexpr double failure_penalty = 20;
+
 // How many mean latencies the target's own are above the mean; fades when nothing more is heard.
 double latencies_above_mean(const service_view& view, const target_state& target, time_point now)
 {
@@ -47,6 +51,7 @@
 {
     const bool is_far = target.info_.data_centre_ != view.data_centre_;
     return expected_in_flight(view, target, now) + (is_far ? far_penalty : 0) +
+           failure_penalty * failures_above_mean(view, target, now) +
            slow_penalty * latencies_above_mean(view, target, now);
 }
 
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -1,5 +1,6 @@
 #include "routing/service_view.hpp"
 
+#include "routing/ejection.hpp"
 #include "routing/selection.hpp"
 
 #include <fmt/format.h>
@@ -62,10 +63,11 @@
     target = std::move(fresh);
 }
 
-// Moving average of the target's own latencies.
-void add_latency(target_state& target, duration latency, time_point now)
+void hear_latency(service_view& view, target_state& target, duration latency, time_point now)
 {
+    add(view.latencies_, latency);
     const auto ns = static_cast<double>(latency.count());
+    view.mean_latency_ns_ += mean_weight * (ns - view.mean_latency_ns_);
     target.latency_ns_ += latency_weight * (ns - target.latency_ns_);
     target.latency_at_ = now;
 }
@@ -82,12 +84,17 @@
     target.started_.erase(nearest);
 }
 
-void hear_load(service_view& view, target_index index, const load_report& load, time_point now)
+// A target that answers with errors is idle because of them, so its load is not believed then.
+void hear_load(service_view& view, target_index index, const load_report& load, bool believed,
+               time_point now)
 {
     target_state& target = view.targets_[index];
     if (load.draining_) {
         target.drain_heard_ = now;
     }
+    if (!believed) {
+        return;
+    }
     const double foreign = std::max(0.0, load.requests_in_flight_ - target.in_flight_);
     view.mean_foreign_ += mean_weight * (foreign - view.mean_foreign_);
     target.load_ = heard_load{load.requests_in_flight_, foreign, now};
@@ -130,10 +137,13 @@
 std::optional<target_index> choose(service_view& view, std::span<const target_index> exclude,
                                    time_point now, random_source& random)
 {
-    const auto eligible = eligible_targets(view, exclude);
+    auto eligible = eligible_targets(view, exclude);
     if (eligible.empty()) {
         return std::nullopt;
     }
+    if (view.policy_ == policy::least_wait) {
+        drop_ejected(view, eligible, now);
+    }
     return select(view, eligible, now, random);
 }
 
@@ -153,18 +163,21 @@
 void attempt_ended(service_view& view, const attempt_report& report, time_point now)
 {
     target_state& target = view.targets_.at(report.target_);
+    const time_point began = now - report.latency_;
     if (target.in_flight_ > 0) {
         --target.in_flight_;
-        forget_start(target, now - report.latency_);
+        forget_start(target, began);
+    }
+    const bool of_earlier_incarnation = target.born_ && began < *target.born_;
+    if (of_earlier_incarnation) {
+        return;
     }
+    count_outcome(view, target, report.end_, now);
     if (report.end_ == attempt_end::answered) {
-        add(view.latencies_, report.latency_);
-        add_latency(target, report.latency_, now);
-        const auto ns = static_cast<double>(report.latency_.count());
-        view.mean_latency_ns_ += mean_weight * (ns - view.mean_latency_ns_);
+        hear_latency(view, target, report.latency_, now);
     }
     if (report.load_) {
-        hear_load(view, report.target_, *report.load_, now);
+        hear_load(view, report.target_, *report.load_, report.end_ == attempt_end::answered, now);
     }
 }
 
@@ -188,7 +201,7 @@
                  time_point now)
 {
     if (load) {
-        hear_load(view, index, *load, now);
+        hear_load(view, index, *load, is_in_use(view.targets_.at(index), now), now);
     }
 }
 
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -37,7 +37,8 @@
     std::size_t next_in_turn_ = 0;                                // round robin
     report_pool reports_;                                         // hot-cold
     double mean_foreign_ = 0; // moving average of the other hosts' requests in flight, all targets
-    double mean_latency_ns_ = 0; // moving average of answered attempts, all targets
+    double mean_latency_ns_ = 0;    // moving average of answered attempts, all targets
+    double mean_failure_ratio_ = 0; // moving average of attempts, all targets
     latency_histogram latencies_;
     probe_budget probes_;
     retry_budget retries_;
--- a/src/routing/target_state.hpp
+++ b/src/routing/target_state.hpp
@@ -28,7 +28,8 @@
     std::optional<time_point> drain_heard_; // the target said that it drains
     std::optional<time_point> born_;        // start of the slow start; none: warm
     double failure_ratio_ = 0;              // moving average over attempts
-    std::uint32_t outcomes_ = 0;            // attempts that count in it, up to the minimum
+    std::uint32_t outcomes_ = 0;            // attempts counted since the last ejection
+    time_point outcome_at_{};               // of the last one
     time_point ejected_until_{};
     std::uint32_t ejections_ = 0; // in a row
     bool on_trial_ = false;       // back from ejection and not proven yet
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -40,6 +40,12 @@
         attempt_ended(view_, {target, attempt_end::answered, latency, {}}, now_);
     }
 
+    void fail(target_index target, attempt_end end)
+    {
+        attempt_started(view_, target, now_);
+        attempt_ended(view_, {target, end, milliseconds{0}, load_report{0, 0}}, now_);
+    }
+
     // An answer after 2 ms that reports the requests in flight.
     void hear(target_index target, double in_flight)
     {
@@ -168,6 +174,71 @@
     CHECK(chosen(50) == std::set<target_index>{0});
 }
 
+TEST(routing, a_target_that_fails_fast_is_avoided_though_it_reports_no_load)
+{
+    update_targets(view_, targets(4), now_);
+    for (int time = 0; time < 40; ++time) {
+        hear(1, 3);
+        hear(2, 3);
+        hear(3, 3);
+        fail(0, attempt_end::failed);
+    }
+    CHECK(chosen(100).count(0) == 0);
+    now_ += seconds{5};
+    for (const target_index busy : {1, 2, 3}) {
+        attempt_started(view_, busy, now_);
+    }
+    CHECK(chosen(50) == std::set<target_index>{0});
+    attempt_started(view_, 0, now_);
+    CHECK(chosen(100).count(0) == 0); // one trial at a time
+    attempt_ended(view_, {0, attempt_end::answered, milliseconds{2}, {}}, now_);
+    now_ += seconds{3};
+    CHECK(chosen(50) == std::set<target_index>{0});
+}
+
+TEST(routing, a_crash_ejects_at_once)
+{
+    update_targets(view_, targets(3), now_);
+    fail(0, attempt_end::crashed);
+    attempt_started(view_, 1, now_);
+    attempt_started(view_, 2, now_);
+    CHECK(chosen(100) == (std::set<target_index>{1, 2}));
+}
+
+TEST(routing, when_all_targets_fail_the_load_spreads)
+{
+    update_targets(view_, targets(4), now_);
+    for (int time = 0; time < 100; ++time) {
+        for (const target_index each : {0, 1, 2, 3}) {
+            fail(each, attempt_end::failed);
+        }
+    }
+    for (const target_index each : {0, 1, 2}) {
+        fail(each, attempt_end::crashed);
+    }
+    for (int time = 0; time < 8; ++time) {
+        attempt_started(view_, choose(view_, {}, now_, random_).value(), now_);
+    }
+    for (const auto& each : view_.targets_) {
+        LONGS_EQUAL(2, each.in_flight_);
+    }
+}
+
+TEST(routing, answers_of_an_earlier_incarnation_raise_no_suspicion)
+{
+    auto all = targets(2);
+    update_targets(view_, all, now_);
+    attempt_started(view_, 0, now_);
+    now_ += milliseconds{50};
+    all[0].incarnation_ = 2;
+    update_targets(view_, all, now_);
+    now_ += milliseconds{1};
+    attempt_ended(view_, {0, attempt_end::crashed, milliseconds{51}, load_report{0, 0, true}},
+                  now_);
+    now_ += seconds{10};
+    CHECK(chosen(100).count(0) == 1);
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
