Start new incarnations of a target slowly

Cause: a cold target, empty, got as many calls as a warm one. Change: a started target counts one request in flight more, fading over the service's cold start.

--- a/src/routing/expected_wait.cpp
+++ b/src/routing/expected_wait.cpp
@@ -34,6 +34,19 @@
     return std::min(above, slow_latencies_max) * std::exp(-age / slow_fade_ns);
 }
 
+// Requests in flight that count like being started just now; fades over the cold start.
+constexpr double cold_penalty = 1;
+
+// The part of its cold start that the target has before it (0 to 1).
+double cold_part(const service_view& view, const target_state& target, time_point now)
+{
+    if (!target.born_ || view.cold_start_ <= duration::zero()) {
+        return 0;
+    }
+    const auto age = static_cast<double>((now - *target.born_).count());
+    return std::max(0.0, 1 - age / static_cast<double>(view.cold_start_.count()));
+}
+
 } // namespace
 
 double expected_in_flight(const service_view& view, const target_state& target, time_point now)
@@ -51,6 +64,7 @@
 {
     const bool is_far = target.info_.data_centre_ != view.data_centre_;
     return expected_in_flight(view, target, now) + (is_far ? far_penalty : 0) +
+           cold_penalty * cold_part(view, target, now) +
            failure_penalty * failures_above_mean(view, target, now) +
            slow_penalty * latencies_above_mean(view, target, now);
 }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -239,6 +239,17 @@
     CHECK(chosen(100).count(0) == 1);
 }
 
+TEST(routing, a_new_incarnation_starts_slowly)
+{
+    auto all = targets(2);
+    update_targets(view_, all, now_);
+    all[0].incarnation_ = 2;
+    update_targets(view_, all, now_);
+    CHECK(chosen(50) == std::set<target_index>{1});
+    now_ += seconds{2};
+    CHECK(chosen(50) == (std::set<target_index>{0, 1}));
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
