--- a/src/telemetry/span.hpp
+++ b/src/telemetry/span.hpp
@@ -21,12 +21,20 @@
     bool sampled_ = false;
 };
 
+// What a span covers, numbered as OTLP does.
+enum class span_kind : std::uint8_t {
+    internal = 1, // work inside this host
+    server = 2,   // a caller's request
+    client = 3,   // an attempt on a target
+};
+
 // One finished span, ready to export. Times are wall-clock, in nanoseconds since the epoch.
 struct span {
     trace_id trace_{};
     span_id id_{};
     span_id parent_{};
     std::string name_;
+    span_kind kind_ = span_kind::internal;
     std::uint64_t start_ns_ = 0;
     std::uint64_t end_ns_ = 0;
     bool failed_ = false;
