Let only the exporter's own time-out end a silent export

Cause: with its timer taken out, the test of a silent collector still passed: the library's default of 5 s ended the exchange.

Change: the library's time-out is set far beyond ours.

Test: without the timer, silent_collector_times_out now fails (0 of 30 spans dropped after 5 s); with it, 10 of 10 tests pass.

--- a/src/telemetry/span_exporter.cpp
+++ b/src/telemetry/span_exporter.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t chunk_bytes = 16384;
 constexpr unsigned max_open_files = 16;
+constexpr unsigned library_timeout_s = 60; // beyond every time-out of ours, which decide
 constexpr auto protocol_name = "otlp";
 constexpr auto export_path = "/v1/traces";
 
@@ -86,6 +87,7 @@
     info.protocols = protocols.data();
     info.vhost_name = protocol_name;
     info.fd_limit_per_thread = max_open_files;
+    info.timeout_secs = library_timeout_s;
     info.user = task.get();
     task->context_ = lws_create_context(&info);
     if (task->context_ != nullptr) {
