--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -98,6 +98,19 @@
     LONGS_EQUAL(cli::exit_ok, run_program({"check", "examples/pernoctas/settings.json"}).code_);
 }
 
+TEST(cli, check_holds_the_lists_against_the_settings_beside_them)
+{
+    const std::string settings = "examples/calloway/settings.json";
+    const outcome own = run_program({"check", "examples/calloway/lists.json", settings});
+    STRCMP_EQUAL("", own.err_.c_str());
+    LONGS_EQUAL(cli::exit_ok, own.code_);
+    STRCMP_CONTAINS("lists.json: valid lists", own.out_.c_str());
+    const outcome other = run_program({"check", "examples/pernoctas/lists.json", settings});
+    LONGS_EQUAL(cli::exit_invalid, other.code_);
+    STRCMP_CONTAINS("examples/pernoctas/lists.json#/plans/families/booking", other.err_.c_str());
+    LONGS_EQUAL(cli::exit_ok, run_program({"check", "examples/pernoctas/lists.json"}).code_);
+}
+
 TEST(cli, flags_take_every_written_form)
 {
     const auto operands =
