Call the object API over HTTP and JSON from a task of its own

Cause: configuration, leases and status need the platform's object API; its answers may be lost, late or never come.

--- /dev/null
+++ b/src/platform/http_object_client.cpp
@@ -0,0 +1,81 @@
+#include "platform/http_object_client.hpp"
+
+#include "platform/object_wire.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace savoryscale::platform {
+
+http_object_client::http_object_client(std::vector<settings::endpoint> addresses,
+                                       const call_gate_options& options, std::uint64_t seed)
+    : gate_{make_call_gate(options, monotonic_now())},
+      random_{seed},
+      addresses_{std::move(addresses)}
+{
+}
+
+void http_object_client::submit(object_call call)
+{
+    const time_point deadline = monotonic_now() + call.timeout_;
+    send(std::move(call), {}, {}, deadline);
+}
+
+void http_object_client::send(object_call call, object_reply so_far, const std::string& after,
+                              time_point deadline)
+{
+    settings::endpoint to;
+    if (!admit_call(to)) {
+        call.done_({call_status::not_sent, {}});
+        return;
+    }
+    call.timeout_ = deadline - monotonic_now();
+    http_request request = to_request(call, after);
+    request.to_ = std::move(to);
+    request.done_ = [this, call = std::move(call), so_far = std::move(so_far),
+                     deadline](const http_answer& answer) mutable {
+        on_page(std::move(call), std::move(so_far), parse_answer(answer), deadline);
+    };
+    caller_.submit(std::move(request));
+}
+
+void http_object_client::on_page(object_call call, object_reply so_far, object_page page,
+                                 time_point deadline)
+{
+    const call_status status = page.reply_.status_;
+    note_answer(status != call_status::not_sent && status != call_status::unknown &&
+                status != call_status::unavailable);
+    so_far.status_ = status;
+    std::move(page.reply_.objects_.begin(), page.reply_.objects_.end(),
+              std::back_inserter(so_far.objects_));
+    const bool more = status == call_status::ok && !page.next_.empty();
+    if (call.operation_ == operation::list && more) {
+        send(std::move(call), std::move(so_far), page.next_, deadline);
+        return;
+    }
+    if (status != call_status::ok) {
+        so_far.objects_.clear(); // a list is whole or absent
+    }
+    call.done_(std::move(so_far));
+}
+
+bool http_object_client::admit_call(settings::endpoint& to)
+{
+    const std::lock_guard lock{mutex_};
+    if (!admit(gate_, monotonic_now())) {
+        return false;
+    }
+    to = addresses_[next_address_];
+    return true;
+}
+
+void http_object_client::note_answer(bool answered)
+{
+    const std::lock_guard lock{mutex_};
+    note_result(gate_, answered, monotonic_now(), random_);
+    if (!answered) {
+        next_address_ = (next_address_ + 1) % addresses_.size();
+    }
+}
+
+} // namespace savoryscale::platform
--- /dev/null
+++ b/src/platform/http_object_client.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+// The object API over plain HTTP and JSON. Calls over the cap or within the backoff end as
+// not_sent; nothing is ever retried here.
+
+#include "platform/call_gate.hpp"
+#include "platform/http_caller.hpp"
+#include "platform/object_client.hpp"
+#include "settings/settings.hpp"
+
+#include <cstddef>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace savoryscale::platform {
+
+struct object_page;
+
+class http_object_client final : public object_client {
+public:
+    // `addresses` must not be empty; after a failure the next one is used. `seed` is for the
+    // jitter.
+    http_object_client(std::vector<settings::endpoint> addresses, const call_gate_options& options,
+                       std::uint64_t seed);
+
+    void submit(object_call call) override;
+
+private:
+    void send(object_call call, object_reply so_far, const std::string& after, time_point deadline);
+    void on_page(object_call call, object_reply so_far, object_page page, time_point deadline);
+    bool admit_call(settings::endpoint& to);
+    void note_answer(bool answered);
+
+    std::mutex mutex_; // guards the members up to next_address_
+    call_gate gate_;
+    random_source random_;
+    std::vector<settings::endpoint> addresses_;
+    std::size_t next_address_ = 0;
+    http_caller caller_; // last: its thread uses the members above
+};
+
+} // namespace savoryscale::platform
--- /dev/null
+++ b/src/platform/object_wire.cpp
@@ -0,0 +1,149 @@
+#include "platform/object_wire.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryscale::platform {
+
+namespace {
+
+using nlohmann::json;
+
+// The API answers a watch this much before the caller's timeout, at most.
+constexpr std::chrono::milliseconds watch_margin{500};
+
+constexpr int http_ok = 200;
+constexpr int http_bad_request = 400;
+constexpr int http_not_found = 404;
+constexpr int http_conflict = 409;
+constexpr int http_too_large = 413;
+constexpr int http_too_many_requests = 429;
+constexpr int http_unavailable = 503;
+
+std::string print_value(const std::string& value)
+{
+    return json{{"value", value}}.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::int64_t wait_ms(duration timeout)
+{
+    const duration margin = std::min(duration{watch_margin}, timeout / 4);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(timeout - margin).count();
+}
+
+call_status status_of(int http_status)
+{
+    switch (http_status) {
+    case http_ok:
+        return call_status::ok;
+    case http_not_found:
+        return call_status::not_found;
+    case http_conflict:
+        return call_status::conflict;
+    case http_bad_request:
+    case http_too_large:
+        return call_status::rejected;
+    case http_too_many_requests:
+    case http_unavailable:
+        return call_status::unavailable;
+    default:
+        return call_status::unknown;
+    }
+}
+
+object_page parse_page(const std::string& body)
+{
+    object_page page;
+    const json root = json::parse(body, nullptr, false);
+    if (root.is_discarded()) {
+        return page;
+    }
+    try {
+        for (const json& each : root.at("objects")) {
+            page.reply_.objects_.push_back({each.at("key").get<std::string>(),
+                                            each.value("value", std::string{}),
+                                            each.at("version").get<std::uint64_t>()});
+        }
+        page.next_ = root.value("next", std::string{});
+        page.reply_.status_ = call_status::ok;
+        return page;
+    }
+    catch (const json::exception&) {
+        return {};
+    }
+}
+
+} // namespace
+
+http_request to_request(const object_call& call, std::string_view after)
+{
+    const std::string path = "/v1/objects/" + escape_url(call.key_);
+    http_request request;
+    request.timeout_ = call.timeout_;
+    switch (call.operation_) {
+    case operation::get:
+        request.path_ = path;
+        break;
+    case operation::list:
+        request.path_ =
+            fmt::format("/v1/objects?prefix={}&after={}", escape_url(call.key_), escape_url(after));
+        break;
+    case operation::create:
+        request.method_ = "PUT";
+        request.path_ = path + "?absent=true";
+        request.body_ = print_value(call.value_);
+        break;
+    case operation::update:
+        request.method_ = "PUT";
+        request.path_ = fmt::format("{}?version={}", path, call.expected_version_);
+        request.body_ = print_value(call.value_);
+        break;
+    case operation::remove:
+        request.method_ = "DELETE";
+        request.path_ = fmt::format("{}?version={}", path, call.expected_version_);
+        break;
+    case operation::watch:
+        request.path_ = fmt::format("{}?above={}&wait_ms={}", path, call.expected_version_,
+                                    wait_ms(call.timeout_));
+        break;
+    }
+    return request;
+}
+
+object_page parse_answer(const http_answer& answer)
+{
+    object_page page;
+    if (answer.end_ == http_end::not_sent) {
+        page.reply_.status_ = call_status::not_sent;
+        return page;
+    }
+    if (answer.end_ == http_end::unknown) {
+        return page;
+    }
+    if (answer.status_ == http_ok) {
+        return parse_page(answer.body_);
+    }
+    page.reply_.status_ = status_of(answer.status_);
+    return page;
+}
+
+std::string escape_url(std::string_view text)
+{
+    std::string escaped;
+    for (const char c : text) {
+        const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        const bool digit = c >= '0' && c <= '9';
+        if (letter || digit || std::string_view{"-._~/"}.find(c) != std::string_view::npos) {
+            escaped += c;
+        }
+        else {
+            escaped += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+        }
+    }
+    return escaped;
+}
+
+} // namespace savoryscale::platform
