Read the host list over HTTP and JSON

Cause: hosts learn of peers and targets from the platform's list. Change: platform/http_host_list_client; a host of an unknown kind is passed over, a broken list is no list at all. Conclusion: the list lags, so what is done with it belongs to those who ask.

--- /dev/null
+++ b/src/platform/http_host_list_client.cpp
@@ -0,0 +1,88 @@
+#include "platform/http_host_list_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace savoryscale::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int http_ok = 200;
+constexpr int http_too_many_requests = 429;
+constexpr int http_unavailable = 503;
+
+// Reads one host; nothing when it is of a kind that this release does not know.
+std::optional<listed_host> parse_host(const json& from)
+{
+    const auto kind = from.at("kind").get<std::string>();
+    if (kind != "entry" && kind != "target") {
+        return std::nullopt;
+    }
+    listed_host host;
+    host.id_ = from.at("id").get<std::string>();
+    host.kind_ = kind == "entry" ? host_kind::entry : host_kind::target;
+    host.service_ = from.value("service", std::string{});
+    host.data_centre_ = from.at("data_centre").get<std::string>();
+    host.address_ = {from.at("ip").get<std::string>(), from.at("port").get<std::uint16_t>()};
+    host.incarnation_ = from.at("incarnation").get<std::uint64_t>();
+    host.leaving_ = from.at("leaving").get<bool>();
+    return host;
+}
+
+} // namespace
+
+host_list_reply parse_host_list(const http_answer& answer)
+{
+    if (answer.end_ == http_end::not_sent) {
+        return {call_status::not_sent, {}};
+    }
+    if (answer.end_ == http_end::unknown) {
+        return {};
+    }
+    if (answer.status_ == http_too_many_requests || answer.status_ == http_unavailable) {
+        return {call_status::unavailable, {}};
+    }
+    const json root = json::parse(answer.body_, nullptr, false);
+    if (answer.status_ != http_ok || root.is_discarded()) {
+        return {};
+    }
+    host_list_reply reply{call_status::ok, {}};
+    try {
+        for (const json& each : root.at("hosts")) {
+            if (auto host = parse_host(each)) {
+                reply.hosts_.push_back(std::move(*host));
+            }
+        }
+        return reply;
+    }
+    catch (const json::exception&) {
+        return {};
+    }
+}
+
+http_host_list_client::http_host_list_client(std::vector<settings::endpoint> addresses)
+    : addresses_{std::move(addresses)}
+{
+}
+
+void http_host_list_client::fetch(duration timeout, std::function<void(host_list_reply)> done)
+{
+    http_request request;
+    request.to_ = addresses_[next_address_ % addresses_.size()];
+    request.path_ = "/v1/hosts";
+    request.timeout_ = timeout;
+    request.done_ = [this, done = std::move(done)](const http_answer& answer) {
+        host_list_reply reply = parse_host_list(answer);
+        if (reply.status_ != call_status::ok) {
+            ++next_address_;
+        }
+        done(std::move(reply));
+    };
+    caller_.submit(std::move(request));
+}
+
+} // namespace savoryscale::platform
