Add a stand-in for the platform's object API and host list

Cause: lost answers, stale reads, silent watches and outages must be caused by tests. Change: standins/platform.cpp with common/object_store and common/platform_standin; faults and counts over a control port. json_server learns to answer later, to close without an answer, and to stop listening. Taking out the mark of a sent header, or the backoff, makes tests fail.

--- a/standins/common/json_server.hpp
+++ b/standins/common/json_server.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
-// A small HTTP server for a stand-in's control port: one handler, whole bodies.
+// A small HTTP server for a stand-in: one handler, whole bodies.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace savoryscale::standins {
@@ -25,17 +26,28 @@
 public:
     using handler = std::function<control_reply(const control_request&)>;
 
+    // Answers one request, now or later; without a reply the connection is closed.
+    using responder = std::function<void(std::optional<control_reply>)>;
+    using deferred_handler = std::function<void(const control_request&, const responder&)>;
+
     // Listens at once. Throws boost::system::system_error if the port is taken.
     json_server(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
                 handler answer);
+    json_server(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+                deferred_handler answer);
+
+    boost::asio::ip::tcp::endpoint address() const { return address_; }
 
-    boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    // Refuses connections until listen is called.
+    void close();
+    void listen();
 
 private:
     void accept();
 
     boost::asio::ip::tcp::acceptor acceptor_;
-    handler answer_;
+    boost::asio::ip::tcp::endpoint address_;
+    deferred_handler answer_;
 };
 
 } // namespace savoryscale::standins
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,9 +1,16 @@
+#include "platform/blocking_call.hpp"
+#include "platform/call_gate.hpp"
+#include "platform/http_host_list_client.hpp"
+#include "platform/http_object_client.hpp"
 #include "platform/status_record.hpp"
+#include "support/running_platform.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace savoryscale;
 using namespace savoryscale::platform;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TEST_GROUP(status_record){};
 
@@ -32,3 +39,197 @@
         CHECK_FALSE(parse_status_record(text).has_value());
     }
 }
+
+TEST_GROUP(call_gate)
+{
+    random_source random_{3};
+    time_point now_{};
+    call_gate gate_ = make_call_gate({2, milliseconds{100}, seconds{5}}, now_);
+};
+
+TEST(call_gate, caps_calls_per_second)
+{
+    CHECK(admit(gate_, now_));
+    CHECK(admit(gate_, now_));
+    CHECK_FALSE(admit(gate_, now_));
+    now_ += milliseconds{500};
+    CHECK(admit(gate_, now_));
+    CHECK_FALSE(admit(gate_, now_));
+}
+
+TEST(call_gate, waits_longer_after_each_failure_but_not_after_the_first)
+{
+    note_result(gate_, false, now_, random_);
+    CHECK(admit(gate_, now_));
+    note_result(gate_, false, now_, random_);
+    CHECK_FALSE(admit(gate_, now_ + milliseconds{40}));
+    CHECK(admit(gate_, now_ + milliseconds{110}));
+    for (int i = 0; i < 20; ++i) {
+        note_result(gate_, false, now_, random_);
+    }
+    CHECK_FALSE(admit(gate_, now_ + milliseconds{2400}));
+    CHECK(admit(gate_, now_ + milliseconds{5100}));
+}
+
+TEST(call_gate, an_answer_ends_the_backoff)
+{
+    note_result(gate_, false, now_, random_);
+    note_result(gate_, true, now_, random_);
+    note_result(gate_, false, now_, random_);
+    CHECK(admit(gate_, now_));
+}
+
+TEST_GROUP(object_client)
+{
+    tests::running_platform platform_{5};
+    http_object_client client_{{platform_.address()}, {1000, milliseconds{1}, milliseconds{1}}, 5};
+
+    object_reply run(operation operation, const std::string& key, const std::string& value = "",
+                     std::uint64_t version = 0, duration timeout = seconds{5})
+    {
+        return call_and_wait(client_, {operation, key, value, version, timeout, {}});
+    }
+};
+
+TEST(object_client, creates_reads_updates_and_removes_on_condition)
+{
+    CHECK(run(operation::get, "a/b c").status_ == call_status::not_found);
+    const auto created = run(operation::create, "a/b c", "\"one\"\n");
+    CHECK(created.status_ == call_status::ok);
+    CHECK(run(operation::create, "a/b c", "two").status_ == call_status::conflict);
+    const auto read = run(operation::get, "a/b c");
+    CHECK_EQUAL(std::string{"\"one\"\n"}, read.objects_.at(0).value_);
+    const auto version = read.objects_.at(0).version_;
+    LONGS_EQUAL(created.objects_.at(0).version_, version);
+    CHECK(run(operation::update, "a/b c", "three", version).status_ == call_status::ok);
+    CHECK(run(operation::update, "a/b c", "four", version).status_ == call_status::conflict);
+    CHECK(run(operation::remove, "a/b c", "", version).status_ == call_status::conflict);
+    CHECK(run(operation::remove, "a/b c", "", version + 1).status_ == call_status::ok);
+}
+
+TEST(object_client, lists_page_by_page)
+{
+    for (int i = 0; i < 250; ++i) {
+        run(operation::create, "status/" + std::to_string(1000 + i), "v");
+    }
+    run(operation::create, "other", "v");
+    const auto all = run(operation::list, "status/");
+    LONGS_EQUAL(250, all.objects_.size());
+    CHECK_EQUAL(std::string{"status/1249"}, all.objects_.back().key_);
+    LONGS_EQUAL(3, platform_.counters()["calls"]["list"].get<int>());
+}
+
+TEST(object_client, carries_a_value_of_a_megabyte_and_refuses_more)
+{
+    const std::string value(1'000'000, '"');
+    CHECK(run(operation::create, "a", value).status_ == call_status::ok);
+    CHECK(run(operation::get, "a").objects_.at(0).value_ == value);
+    CHECK(run(operation::create, "b", value + "x").status_ == call_status::rejected);
+}
+
+TEST(object_client, a_lost_answer_is_unknown_and_nothing_is_sent_again)
+{
+    platform_.change(R"({"object_api": {"lose_answer": 1}})");
+    CHECK(run(operation::create, "a", "one").status_ == call_status::unknown);
+    LONGS_EQUAL(1, platform_.counters()["calls"]["create"].get<int>());
+    CHECK_EQUAL(std::string{"one"}, run(operation::get, "a").objects_.at(0).value_);
+}
+
+TEST(object_client, no_connection_is_proof_of_not_sent)
+{
+    platform_.change(R"({"down": true})");
+    CHECK(run(operation::create, "a", "one").status_ == call_status::not_sent);
+    platform_.change(R"({"down": false})");
+    CHECK(run(operation::get, "a").status_ == call_status::not_found);
+}
+
+TEST(object_client, a_refusal_is_unavailable)
+{
+    platform_.change(R"({"object_api": {"refuse": true}})");
+    CHECK(run(operation::get, "a").status_ == call_status::unavailable);
+}
+
+TEST(object_client, a_slow_write_is_unknown_at_its_timeout)
+{
+    platform_.change(R"({"object_api": {"delay_ms": 60000}})");
+    CHECK(run(operation::create, "a", "one", 0, milliseconds{200}).status_ == call_status::unknown);
+}
+
+TEST(object_client, a_watch_tells_of_a_change_and_of_none)
+{
+    const auto version = run(operation::create, "a", "one").objects_.at(0).version_;
+    const auto none = run(operation::watch, "a", "", version, milliseconds{400});
+    CHECK(none.status_ == call_status::ok);
+    CHECK(none.objects_.empty());
+    std::promise<object_reply> told;
+    client_.submit({operation::watch, "a", "", version, seconds{20},
+                    [&](object_reply reply) { told.set_value(std::move(reply)); }});
+    run(operation::update, "a", "two", version);
+    CHECK_EQUAL(std::string{"two"}, told.get_future().get().objects_.at(0).value_);
+}
+
+TEST(object_client, a_watch_gone_silent_is_unknown_while_reads_work)
+{
+    platform_.change(R"({"object_api": {"silent_watch": true}})");
+    const auto version = run(operation::create, "a", "one").objects_.at(0).version_;
+    CHECK(run(operation::watch, "a", "", version, milliseconds{300}).status_ ==
+          call_status::unknown);
+    CHECK(run(operation::get, "a").status_ == call_status::ok);
+}
+
+TEST(object_client, over_the_cap_is_not_sent)
+{
+    http_object_client capped{{platform_.address()}, {1, milliseconds{1}, milliseconds{1}}, 5};
+    const object_call read{operation::get, "a", "", 0, seconds{5}, {}};
+    CHECK(call_and_wait(capped, read).status_ == call_status::not_found);
+    CHECK(call_and_wait(capped, read).status_ == call_status::not_sent);
+    LONGS_EQUAL(1, platform_.counters()["calls"]["get"].get<int>());
+}
+
+TEST(object_client, ends_open_calls_when_it_is_destroyed)
+{
+    object_reply reply{call_status::ok, {}};
+    {
+        http_object_client ending{{platform_.address()}, {}, 5};
+        ending.submit({operation::watch, "a", "", 9, seconds{60},
+                       [&](object_reply answer) { reply = std::move(answer); }});
+    }
+    CHECK(reply.status_ == call_status::unknown || reply.status_ == call_status::not_sent);
+}
+
+TEST_GROUP(host_list_client)
+{
+    tests::running_platform platform_{5};
+    http_host_list_client client_{{platform_.address()}};
+};
+
+TEST(host_list_client, reads_hosts_and_passes_over_unknown_kinds)
+{
+    platform_.change(R"({"hosts": [
+        {"id": "e1", "kind": "entry", "data_centre": "mobile", "ip": "127.0.0.1", "port": 7,
+         "incarnation": 3, "leaving": true, "rack": "r1"},
+        {"id": "x", "kind": "cache"}]})");
+    const auto reply = fetch_and_wait(client_, seconds{5});
+    CHECK(reply.status_ == call_status::ok);
+    LONGS_EQUAL(1, reply.hosts_.size());
+    const listed_host expected{"e1", host_kind::entry, "", "mobile", {"127.0.0.1", 7}, 3, true};
+    CHECK(reply.hosts_.at(0) == expected);
+}
+
+TEST(host_list_client, shows_the_list_of_a_while_ago_when_it_lags)
+{
+    platform_.change(R"({"host_lag_ms": 3600000})");
+    platform_.change(R"({"hosts": [{"id": "e1", "kind": "entry", "data_centre": "mobile",
+        "ip": "127.0.0.1", "port": 7, "incarnation": 3, "leaving": false}]})");
+    CHECK(fetch_and_wait(client_, seconds{5}).hosts_.empty());
+}
+
+TEST(host_list_client, tells_of_no_list)
+{
+    platform_.change(R"({"hosts_refuse": true})");
+    CHECK(fetch_and_wait(client_, seconds{5}).status_ == call_status::unavailable);
+    platform_.change(R"({"hosts_refuse": false, "hosts": [{"kind": "entry"}]})");
+    CHECK(fetch_and_wait(client_, seconds{5}).status_ == call_status::unknown);
+    platform_.change(R"({"down": true})");
+    CHECK(fetch_and_wait(client_, seconds{5}).status_ == call_status::not_sent);
+}
