Name the control task's events, callbacks and counters

Cause: the request path and the control plane are wired together before both exist.

Change: the header of membership/control_task.hpp, without its body yet.

Shown by: it compiles in lint only; nothing runs it.

Conclusion: serve can be written against it.

--- /dev/null
+++ b/src/membership/control_task.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+// The control plane of one entry host, on one thread: exchange with the peers, the two lists, the
+// view of hosts and targets, the watcher's lease, and status records. It talks to the request path
+// by the callbacks below and by the events that are posted to it.
+
+#include "base/error.hpp"
+#include "base/mailbox.hpp"
+#include "peer/fact.hpp"
+#include "plans/lists.hpp"
+#include "routing/target.hpp"
+#include "settings/settings.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace savoryscale::platform {
+class host_list_client;
+class object_client;
+} // namespace savoryscale::platform
+
+namespace savoryscale::peer {
+struct peer_counters;
+} // namespace savoryscale::peer
+
+namespace savoryscale::membership {
+
+// A host's part of a total that all entry hosts share, per second or in units, as the resource has
+// it.
+struct share_limit {
+    std::string resource_;     // "probes/SERVICE", "probe_bytes/SERVICE"
+    std::uint64_t amount_ = 0; // may be used until until_
+    std::uint64_t later_ = 0;  // may be used from until_ on, unless told otherwise before
+    time_point until_;
+};
+
+// Run on the control task's thread; they must not block, and post to the task they are for.
+struct control_callbacks {
+    std::function<void(const plans::lists&)> on_lists_; // newer lists are in force
+    std::function<void(const std::string& service, const std::vector<routing::target_info>&)>
+        on_targets_; // all targets of one service, when any changed
+    std::function<void(const peer::fact&)> on_suspicion_; // a peer's suspicion
+    std::function<void(bool)> on_ready_;                  // may serve, or no longer
+    std::function<void(const share_limit&)> on_share_;
+};
+
+// Events from the request path.
+
+// A target said that it drains. `incarnation_` is the target_info's that the answer was for.
+struct drain_seen {
+    std::string service_;
+    settings::endpoint address_;
+    std::uint64_t incarnation_ = 0;
+};
+
+// A suspicion to tell the peers.
+struct suspicion_raised {
+    peer::fact fact_;
+};
+
+// How much of a resource could be used here now, in the units of its share_limit.
+struct share_demand {
+    std::string resource_;
+    std::uint64_t wanted_ = 0;
+};
+
+// This host is to stop: its peers are told, and readiness fails.
+struct stopping {};
+
+using control_event = std::variant<drain_seen, suspicion_raised, share_demand, stopping>;
+
+// Read by any thread.
+struct control_counters {
+    std::atomic<std::uint64_t> lists_version_{0}; // gauge; 0: none
+    std::atomic<std::uint64_t> store_calls_{0};
+    std::atomic<std::uint64_t> host_list_calls_{0};
+    std::atomic<std::uint64_t> lease_terms_{0};   // times that this host became a watcher
+    std::atomic<std::uint64_t> watching_{0};      // gauge: 1 while it holds a lease
+    std::atomic<std::uint64_t> hosts_seen_{0};    // gauge: live entry hosts, this one included
+    std::atomic<std::uint64_t> facts_refused_{0}; // payloads that do not parse
+};
+
+class control_task {
+public:
+    // The clients must outlive the task; calls that are under way when it ends are let go.
+    control_task(const settings::settings& settings, platform::object_client& store,
+                 platform::host_list_client& host_list, control_callbacks callbacks);
+    control_task(const control_task&) = delete;
+    control_task& operator=(const control_task&) = delete;
+    control_task(control_task&&) = delete;
+    control_task& operator=(control_task&&) = delete;
+    // Stops the thread and leaves the exchange.
+    ~control_task();
+
+    // Binds the peers' listener, if settings have one, and starts the thread. Errors: unavailable
+    // when the address cannot be bound, invalid for bad keys.
+    result<void> start();
+
+    // Any thread may post.
+    void post(control_event event);
+
+    const control_counters& counters() const { return counters_; }
+
+    // Counters of the exchange; nullptr without one.
+    const peer::peer_counters* exchange_counters() const;
+
+private:
+    class loop;
+
+    control_counters counters_;
+    std::unique_ptr<loop> loop_;
+};
+
+} // namespace savoryscale::membership
