Carry the exchange over ZeroMQ with CURVE keys and heartbeats

Cause: the exchange is a state machine; entry hosts need sockets around it, and a connection may go silent for good while new ones work.

Change: peer_task owns a ROUTER for links taken and a DEALER for each link made, checks clients' keys by ZAP, answers heartbeats, and opens a silent link anew, with the next trusted key when the peer's is not known. Bytes and messages are counted.

Conclusion: the control task can post facts and hear them.

--- /dev/null
+++ b/src/peer/peer_task.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+// The task of the exchange between entry hosts: owns the ZeroMQ sockets and the exchange's state on
+// one thread. Commands go in by a mailbox, events come out by a sink.
+//
+// One ROUTER socket takes links from peers; one DEALER socket for each chosen peer makes a link to
+// it. Messages go both ways on a link. The maker of a link sends heartbeats, each of which is
+// answered; a link that stays silent is closed, and opened again as a new connection.
+
+#include "base/clock.hpp"
+#include "base/error.hpp"
+#include "base/mailbox.hpp"
+#include "peer/fact.hpp"
+#include "peer/message.hpp"
+#include "settings/settings.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace savoryscale::peer {
+
+// Where a peer listens. The key may be empty when it is not known yet; then the trusted keys of the
+// settings are tried in turn.
+struct peer_address {
+    settings::endpoint address_;
+    std::string public_key_;
+
+    friend bool operator==(const peer_address&, const peer_address&) = default;
+};
+
+// Commands.
+
+struct tell_fact {
+    fact fact_;
+};
+
+// The links to hold from now on; others are closed.
+struct set_links {
+    std::vector<peer_address> links_;
+};
+
+// Sends a share message to a linked peer; to a random one when peer_ is empty.
+struct send_share {
+    std::string peer_;
+    message_kind kind_ = message_kind::share_ask; // or share_grant
+    share_message share_;
+};
+
+using peer_command = std::variant<tell_fact, set_links, send_share>;
+
+// Events.
+
+// A peer told something newer than what was known here.
+struct fact_learned {
+    fact fact_;
+};
+
+struct fact_expired {
+    fact fact_;
+};
+
+struct peer_linked {
+    std::string peer_;
+    bool linked_ = true; // false: the last link to it is gone
+};
+
+struct share_heard {
+    std::string peer_;
+    message_kind kind_ = message_kind::unknown; // share_ask or share_grant
+    share_message share_;
+};
+
+using peer_event = std::variant<fact_learned, fact_expired, peer_linked, share_heard>;
+
+// What a peer_task is made with. `host_id_` names this host in messages.
+struct peer_task_settings {
+    std::string host_id_;
+    std::string data_centre_;
+    settings::peer_exchange exchange_;
+    duration heartbeat_period_ = std::chrono::seconds{2};
+    duration silent_after_ = std::chrono::seconds{6};
+};
+
+// Read by any thread.
+struct peer_counters {
+    std::atomic<std::uint64_t> bytes_sent_{0};
+    std::atomic<std::uint64_t> bytes_received_{0};
+    std::atomic<std::uint64_t> messages_sent_{0};
+    std::atomic<std::uint64_t> messages_received_{0};
+    std::atomic<std::uint64_t> messages_refused_{0};  // did not parse
+    std::atomic<std::uint64_t> messages_dropped_{0};  // a link's queue was full, or it was gone
+    std::atomic<std::uint64_t> links_reopened_{0};    // closed because they were silent
+    std::atomic<std::uint64_t> strangers_refused_{0}; // connections with a key that is not trusted
+    std::atomic<std::uint64_t> linked_peers_{0};      // gauge
+};
+
+class peer_task {
+public:
+    // `sink` is run on the task's thread and must not block.
+    peer_task(peer_task_settings settings, std::function<void(peer_event)> sink);
+    peer_task(const peer_task&) = delete;
+    peer_task& operator=(const peer_task&) = delete;
+    peer_task(peer_task&&) = delete;
+    peer_task& operator=(peer_task&&) = delete;
+    // Stops the thread and closes the sockets.
+    ~peer_task();
+
+    // Binds the listener and starts the thread. Port 0 takes a free port. Errors: unavailable when
+    // the address cannot be bound, invalid for bad keys.
+    result<settings::endpoint> start();
+
+    // Any thread may post.
+    void post(peer_command command);
+
+    const peer_counters& counters() const { return counters_; }
+
+private:
+    class loop;
+
+    peer_task_settings settings_;
+    std::function<void(peer_event)> sink_;
+    peer_counters counters_;
+    mailbox<peer_command> commands_;
+    std::atomic<bool> stopping_{false};
+    int wake_fd_ = -1;
+    std::unique_ptr<loop> loop_;
+    std::thread thread_;
+};
+
+} // namespace savoryscale::peer
--- /dev/null
+++ b/tests/support/relay.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+// A TCP relay on loopback that can fall silent: established connections stay open and carry
+// nothing more, while new ones work.
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace savoryscale::tests {
+
+class relay {
+public:
+    // Listens on a free port of 127.0.0.1 and joins each connection to `to_port` there.
+    explicit relay(std::uint16_t to_port);
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+    relay(relay&&) = delete;
+    relay& operator=(relay&&) = delete;
+    ~relay();
+
+    std::uint16_t port() const { return port_; }
+
+    // Connections accepted so far.
+    int accepted() const { return accepted_; }
+
+    // The connections of now carry nothing from here on.
+    void silence_open_connections();
+
+private:
+    struct pair {
+        int left_ = -1;
+        int right_ = -1;
+        bool silent_ = false;
+    };
+
+    void run();
+    void accept_one();
+
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::uint16_t to_port_ = 0;
+    std::atomic<int> accepted_{0};
+    std::atomic<bool> stopping_{false};
+    std::mutex mutex_;
+    std::vector<pair> pairs_;
+    std::thread thread_;
+};
+
+} // namespace savoryscale::tests
