--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -34,6 +34,15 @@
     time_point now_{seconds{1000}};
     service_view view_ = make_view(settings::service{}, "mobile", policy::least_wait);
 
+    // An answer after 2 ms that reports the requests in flight.
+    void hear(target_index target, double in_flight)
+    {
+        attempt_started(view_, target, now_);
+        attempt_ended(view_,
+                      {target, attempt_end::answered, milliseconds{2}, load_report{in_flight, 0}},
+                      now_);
+    }
+
     std::set<target_index> chosen(int times)
     {
         std::set<target_index> seen;
@@ -79,6 +88,61 @@
     CHECK(chosen(200) == (std::set<target_index>{0, 1}));
 }
 
+TEST(routing, a_report_of_other_hosts_calls_counts_less_as_it_ages)
+{
+    update_targets(view_, targets(3), now_);
+    for (int time = 0; time < 1000; ++time) {
+        hear(0, 4);
+        hear(1, 4);
+    }
+    hear(2, 0);
+    CHECK(chosen(50) == std::set<target_index>{2});
+    attempt_started(view_, 2, now_);
+    attempt_started(view_, 2, now_);
+    now_ += seconds{1};
+    hear(0, 3);
+    CHECK(chosen(50) == std::set<target_index>{0});
+}
+
+TEST(routing, a_recent_report_of_the_mean_is_preferred_to_an_old_one)
+{
+    update_targets(view_, targets(2), now_);
+    for (int time = 0; time < 1000; ++time) {
+        hear(0, 2);
+        hear(1, 2);
+    }
+    now_ += seconds{1};
+    hear(1, 2);
+    CHECK(chosen(50) == std::set<target_index>{1});
+}
+
+TEST(routing, the_own_data_centre_goes_first_and_spills_over)
+{
+    auto all = targets(2);
+    all[1].data_centre_ = "biloxi";
+    update_targets(view_, all, now_);
+    CHECK(chosen(50) == std::set<target_index>{0});
+    attempt_started(view_, 0, now_);
+    CHECK(chosen(50) == std::set<target_index>{1});
+}
+
+TEST(routing, a_hedge_waits_for_the_ninetieth_percentile_and_leaves_a_reserve_for_retries)
+{
+    update_targets(view_, targets(2), now_);
+    CHECK_FALSE(hedge_after(view_, now_).has_value());
+    for (int time = 0; time < 1000; ++time) {
+        attempt_started(view_, 0, now_);
+        const milliseconds latency{time % 100 < 88 ? 2 : 40};
+        attempt_ended(view_, {0, attempt_end::answered, latency, {}}, now_);
+    }
+    CHECK(hedge_after(view_, now_).value() >= milliseconds{40});
+    CHECK(hedge_after(view_, now_).value() <= milliseconds{48});
+    while (take_hedge(view_, now_)) {
+    }
+    CHECK_FALSE(hedge_after(view_, now_).has_value());
+    CHECK(take_retry(view_, now_));
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
