Count a share that dips between two probes as raised anew

Cause: a share given away and got back between two tries counted at once, while the peer that had it may have used it in the same second. Change: setting a lower share cuts the usable part at once.

--- a/src/routing/probe_budget.cpp
+++ b/src/routing/probe_budget.cpp
@@ -35,6 +35,7 @@
         budget.raised_at_.reset();
     }
     budget.share_ = share;
+    budget.usable_ = std::min(budget.usable_, share);
 }
 
 bool take_probe(probe_budget& budget, time_point now)
