--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -3,6 +3,7 @@
 #include "base/version.hpp"
 #include "cli/arguments.hpp"
 #include "cli/check.hpp"
+#include "cli/serve_command.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -39,6 +40,13 @@
 {
     constexpr std::size_t any_number = 1024;
     static const std::vector<command> all{
+        {"serve",
+         "--settings=FILE",
+         "runs one entry host until it is told to stop",
+         {"settings"},
+         0,
+         0,
+         run_serve},
         {"check",
          "FILE...",
          "validates files and names every fault with its remedy",
--- /dev/null
+++ b/src/cli/serve_command.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+// The serve subcommand on the command line.
+
+#include <iosfwd>
+#include <span>
+#include <string>
+
+namespace savoryscale::cli {
+
+// Loads the settings that --settings names and serves until told to stop. Faults in the settings go
+// to `err`. Returns the exit code.
+int run_serve(std::span<const std::string> operands, std::ostream& out, std::ostream& err);
+
+} // namespace savoryscale::cli
--- /dev/null
+++ b/src/cli/settings_flag.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+// The flag --settings, shared by the subcommands that need settings.
+
+#include "settings/settings.hpp"
+
+#include <iosfwd>
+#include <optional>
+
+namespace savoryscale::cli {
+
+// The settings in the file that --settings names. Without a value every fault goes to `err`.
+std::optional<settings::settings> load_flagged_settings(std::ostream& err);
+
+} // namespace savoryscale::cli
--- /dev/null
+++ b/src/http/connection_pool.cpp
@@ -0,0 +1,211 @@
+#include "http/connection_pool.hpp"
+
+#include "http/event_loop.hpp"
+#include "http/socket.hpp"
+#include "http/upstream_connection.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace savoryscale::http {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A connection that answered within this time is taken to work in both directions.
+constexpr duration proof_lifetime = 1s;
+
+// Idle connections are closed after this, ahead of what upstreams usually allow.
+constexpr duration idle_lifetime = 10s;
+
+// A connection rests this long after an answer, so that surplus bytes show before it is reused.
+constexpr duration settle_time = 2ms;
+
+// After surplus bytes, none of the target's connections are reused for this long.
+constexpr duration no_reuse_time = 10s;
+
+} // namespace
+
+connection_pool::connection_pool(event_loop& loop, settings::endpoint address, bool tls,
+                                 std::size_t cap)
+    : loop_{loop}, address_{std::move(address)}, tls_{tls}, cap_{cap}
+{
+}
+
+connection_pool::~connection_pool() = default;
+
+std::deque<upstream_connection*>::iterator connection_pool::find_usable(bool proven, time_point now)
+{
+    if (now < no_reuse_until_) {
+        return idle_.end();
+    }
+    return std::find_if(idle_.begin(), idle_.end(), [&](const upstream_connection* candidate) {
+        const duration age = now - candidate->last_proof();
+        return age >= settle_time && age <= (proven ? proof_lifetime : idle_lifetime);
+    });
+}
+
+upstream_connection* connection_pool::acquire(upstream_exchange* exchange, bool proven)
+{
+    const auto usable = find_usable(proven, loop_.now());
+    if (usable != idle_.end()) {
+        upstream_connection* connection = *usable;
+        idle_.erase(usable);
+        ++counters_.reused_;
+        connection->assign(exchange);
+        return connection;
+    }
+    if (connections_.size() >= cap_ && !idle_.empty()) {
+        upstream_connection* connection = idle_.front();
+        if (loop_.now() - connection->last_proof() < settle_time &&
+            loop_.now() >= no_reuse_until_) {
+            idle_.pop_front(); // all are in use: one that has not rested is better than none
+            ++counters_.reused_;
+            connection->assign(exchange);
+            return connection;
+        }
+        drop(*connection); // unusable for this exchange: make room
+    }
+    if (connections_.size() >= cap_) {
+        return nullptr;
+    }
+    return open(exchange);
+}
+
+void connection_pool::distrust_before(time_point moment)
+{
+    const auto idle = idle_;
+    for (upstream_connection* connection : idle) {
+        if (connection->last_proof() < moment) {
+            ++counters_.retired_;
+            drop(*connection);
+        }
+    }
+}
+
+bool connection_pool::has_room() const
+{
+    return (!idle_.empty() || connections_.size() < cap_);
+}
+
+void connection_pool::set_cap(std::size_t cap)
+{
+    cap_ = cap;
+    while (connections_.size() > cap_ && !idle_.empty()) {
+        drop(*idle_.front());
+    }
+}
+
+upstream_connection* connection_pool::open(upstream_exchange* exchange)
+{
+    auto owned = std::make_unique<upstream_connection>(*this, loop_.now(), exchange == nullptr);
+    upstream_connection* connection = owned.get();
+    connections_.emplace(connection, std::move(owned));
+    connection->assign(exchange);
+    socket* stream = loop_.connect(address_, tls_, connection);
+    if (stream == nullptr) {
+        connections_.erase(connection);
+        ++counters_.refused_;
+        return nullptr;
+    }
+    connection->attach(stream);
+    ++counters_.opened_;
+    return connection;
+}
+
+void connection_pool::keep_one_warm()
+{
+    if (!idle_.empty() || opening_spares_ > 0 || connections_.size() >= cap_) {
+        return;
+    }
+    if (open(nullptr) != nullptr) {
+        ++opening_spares_;
+    }
+}
+
+void connection_pool::check(std::function<void(bool accepts)> done)
+{
+    if (connections_.size() >= cap_) {
+        done(true);
+        return;
+    }
+    on_checked_ = std::move(done);
+    if (open(nullptr) == nullptr) {
+        report_check(false);
+        return;
+    }
+    ++opening_spares_;
+}
+
+void connection_pool::report_check(bool accepts)
+{
+    if (on_checked_) {
+        std::exchange(on_checked_, {})(accepts);
+    }
+}
+
+void connection_pool::close_idle()
+{
+    while (!idle_.empty()) {
+        drop(*idle_.front());
+    }
+}
+
+void connection_pool::close_aged(time_point now)
+{
+    while (!idle_.empty() && now - idle_.front()->last_proof() > idle_lifetime) {
+        ++counters_.retired_;
+        drop(*idle_.front());
+    }
+}
+
+void connection_pool::connection_opened(upstream_connection& connection)
+{
+    --opening_spares_;
+    idle_.push_back(&connection);
+    report_check(true);
+}
+
+void connection_pool::connection_released(upstream_connection& connection, bool reusable)
+{
+    if (reusable && connections_.size() <= cap_) {
+        idle_.push_back(&connection);
+        return;
+    }
+    drop(connection);
+}
+
+void connection_pool::connection_closed(upstream_connection& connection)
+{
+    if (!connection.is_open() && connection.is_spare()) {
+        --opening_spares_;
+        report_check(false);
+    }
+    drop(connection);
+}
+
+void connection_pool::connection_poisoned()
+{
+    ++counters_.poisoned_;
+    no_reuse_until_ = loop_.now() + no_reuse_time;
+}
+
+// Forgets the connection and closes it once the callback in progress has returned.
+void connection_pool::drop(upstream_connection& connection)
+{
+    const auto idle = std::find(idle_.begin(), idle_.end(), &connection);
+    if (idle != idle_.end()) {
+        idle_.erase(idle);
+    }
+    const auto found = connections_.find(&connection);
+    if (found == connections_.end()) {
+        return;
+    }
+    connection.shut();
+    loop_.retire(std::move(found->second));
+    connections_.erase(found);
+}
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/event_loop.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+// The event loop of one task: a libwebsockets context with raw sockets and timers. All members but
+// wake() and stop() are called on the thread that runs it.
+
+#include "base/clock.hpp"
+#include "base/error.hpp"
+#include "http/timer_queue.hpp"
+#include "settings/settings.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+struct lws;
+struct lws_context;
+struct lws_vhost;
+
+namespace savoryscale::http {
+
+class socket;
+class socket_handler;
+
+// Chooses the handler of a connection that was just accepted; nullptr closes it.
+using accept_function = std::function<socket_handler*(socket&)>;
+
+class event_loop {
+public:
+    // `max_sockets` bounds accepted and opened connections together.
+    static result<std::unique_ptr<event_loop>> make(std::uint32_t max_sockets);
+
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    // Listens on the address; port 0 picks a free one. Returns the port in use.
+    result<std::uint16_t> listen(const settings::endpoint& address,
+                                 const std::optional<settings::tls_identity>& tls,
+                                 accept_function accept);
+
+    // Stops accepting on every listener; accepted connections live on.
+    void stop_listening();
+
+    // Starts a connection. The handler hears on_connected or on_closed; nullptr when no connection
+    // could be started, and then it hears nothing.
+    socket* connect(const settings::endpoint& address, bool tls, socket_handler* handler);
+
+    // Runs `action` once on this loop after `delay`.
+    timer_id after(duration delay, std::function<void()> action);
+    timer_id at(time_point due, std::function<void()> action);
+    void cancel(timer_id id);
+
+    // Forgets every timer and destroys what was retired. For a task that ends before its loop.
+    void clear_timers() { timers_.clear(); }
+
+    // Destroys the item once the callback in progress has returned.
+    template<class T>
+    void retire(std::unique_ptr<T> item)
+    {
+        after(duration::zero(), [kept = std::shared_ptr<T>{std::move(item)}] {});
+    }
+
+    // Runs until stop(). `on_wake` is called after each wake().
+    void run(std::function<void()> on_wake);
+
+    // Interrupts the loop from any thread, so that it calls on_wake.
+    void wake();
+
+    // Ends run() from any thread.
+    void stop();
+
+    // Time at the start of the callback in progress.
+    [[nodiscard]] time_point now() const;
+
+    // Accepted connections, those included that are still being ended.
+    [[nodiscard]] std::size_t accepted() const { return accepted_; }
+
+    // Entry point for the library's callbacks.
+    static int callback(lws* wsi, int reason, void* data, std::size_t length);
+
+private:
+    friend class socket;
+    struct listener;
+    struct timer_hook;
+
+    event_loop();
+
+    int dispatch(lws* wsi, int reason, void* data, std::size_t length);
+    int handle_accepted(lws* wsi);
+    void accept_waiting(listener& entry);
+    void arm_timer();
+    void forget(socket* gone);
+
+    lws_context* context_ = nullptr;
+    lws_vhost* client_vhost_ = nullptr;
+    std::vector<std::unique_ptr<listener>> listeners_;
+    std::unordered_map<socket*, std::unique_ptr<socket>> sockets_;
+    std::size_t accepted_ = 0;
+    timer_queue timers_;
+    std::unique_ptr<timer_hook> hook_;
+    std::optional<time_point> armed_for_;
+    std::function<void()> on_wake_;
+    std::atomic<bool> stopping_ = false;
+    bool closing_down_ = false;
+};
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/front.cpp
@@ -0,0 +1,362 @@
+#include "http/front.hpp"
+
+#include "http/caller_connection.hpp"
+#include "http/socket.hpp"
+#include "telemetry/log.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace savoryscale::http {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_interval = 1s;
+constexpr duration stop_check_interval = 10ms;
+
+// Callers that were refused without a measured wait are asked to return within this time.
+constexpr duration retry_after_min = 1s;
+constexpr std::uint64_t retry_after_spread_ms = 2000;
+
+} // namespace
+
+front::front(event_loop& loop, const settings::settings& config, const telemetry::metrics& metrics,
+             std::uint64_t seed, front_events events)
+    : loop_{loop},
+      config_{config},
+      events_{std::move(events)},
+      random_{seed},
+      metrics_{metrics},
+      admission_{admission::make_state(1.0 / config.host_.hosts_max_)},
+      inbox_{[&loop] { loop.wake(); }},
+      request_id_prefix_{fmt::format("{}-{:x}-", config.host_.id_, random_())}
+{
+    for (const settings::service& service : config_.services_) {
+        auto state = std::make_unique<service_state>();
+        state->config_ = &service;
+        state->view_ =
+            routing::make_view(service, config_.host_.data_centre_, routing::policy::least_wait);
+        state->connection_cap_ =
+            std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
+        services_.push_back(std::move(state));
+    }
+    std::sort(services_.begin(), services_.end(), [](const auto& left, const auto& right) {
+        return left->config_->path_prefix_.size() > right->config_->path_prefix_.size();
+    });
+    for (auto& service : services_) {
+        apply_targets(*service);
+    }
+}
+
+front::~front()
+{
+    callers_.clear();
+    loop_.clear_timers();
+}
+
+result<std::uint16_t> front::open()
+{
+    loop_.after(tick_interval, [this] { tick(); });
+    return loop_.listen(config_.listen_.address_, config_.listen_.tls_,
+                        [this](socket& stream) -> socket_handler* {
+                            if (callers_.size() >= config_.listen_.max_connections_) {
+                                return nullptr;
+                            }
+                            auto owned = std::make_unique<caller_connection>(*this, stream);
+                            caller_connection* caller = owned.get();
+                            callers_.emplace(caller, std::move(owned));
+                            return caller;
+                        });
+}
+
+void front::post(std::function<void(front&)> action)
+{
+    inbox_.post(std::move(action));
+}
+
+void front::run_posted()
+{
+    for (auto& action : inbox_.take()) {
+        action(*this);
+    }
+}
+
+void front::set_lists(const plans::lists& lists)
+{
+    admission::set_lists(admission_, lists, loop_.now());
+}
+
+void front::set_targets(std::string_view service, std::vector<routing::target_info> targets)
+{
+    for (auto& state : services_) {
+        if (state->config_->name_ == service) {
+            state->listed_ = std::move(targets);
+            apply_targets(*state);
+        }
+    }
+}
+
+// Puts the targets of the settings and of the host list together, and retires the connections to
+// those that leave.
+void front::apply_targets(service_state& service)
+{
+    std::vector<routing::target_info> all = service.listed_;
+    for (const settings::static_target& target : service.config_->targets_) {
+        const bool listed = std::any_of(all.begin(), all.end(), [&](const auto& info) {
+            return info.address_ == target.address_;
+        });
+        if (!listed) {
+            all.push_back({target.address_, target.data_centre_, false, 0});
+        }
+    }
+    routing::update_targets(service.view_, all, loop_.now());
+    for (auto& [index, connections] : service.targets_) {
+        const settings::endpoint& address = routing::address_of(service.view_, index);
+        const auto info = std::find_if(all.begin(), all.end(), [&](const auto& candidate) {
+            return candidate.address_ == address;
+        });
+        if (info == all.end() || info->leaving_) {
+            connections.pool_->close_idle();
+        }
+        else {
+            connections.name_ =
+                fmt::format("{}:{}/{}", address.ip_, address.port_, info->incarnation_);
+        }
+    }
+}
+
+void front::set_probe_share(std::string_view service, double probes_per_second)
+{
+    for (auto& state : services_) {
+        if (state->config_->name_ == service) {
+            routing::set_probe_share(state->view_, probes_per_second);
+        }
+    }
+}
+
+void front::merge_suspicion(const peer::fact& suspicion)
+{
+    const auto merged = admission::merge(quarantine_, suspicion, loop_.now());
+    (void)merged; // what was new is told on by the exchange itself
+}
+
+service_state* front::find_service(std::string_view target)
+{
+    for (auto& service : services_) {
+        if (target.substr(0, service->config_->path_prefix_.size()) ==
+            service->config_->path_prefix_) {
+            return service.get();
+        }
+    }
+    return nullptr;
+}
+
+// Without an object API in the settings there are no lists, and every customer is admitted.
+admission::verdict front::admit(std::string_view customer, const service_state& service)
+{
+    if (config_.platform_.object_api_.empty()) {
+        return {};
+    }
+    const auto verdict =
+        admission::admit(admission_, customer, service.config_->name_, loop_.now(), random_);
+    if (!verdict.admitted()) {
+        metrics_.refusals_[verdict.reason_].Increment();
+    }
+    return verdict;
+}
+
+void front::release(std::string_view customer, const service_state& service)
+{
+    if (!config_.platform_.object_api_.empty()) {
+        admission::release(admission_, customer, service.config_->name_);
+    }
+}
+
+target_connections& front::connections_of(service_state& service, routing::target_index target)
+{
+    target_connections& connections = service.targets_[target];
+    if (connections.pool_ == nullptr) {
+        const settings::endpoint& address = routing::address_of(service.view_, target);
+        connections.pool_ = std::make_unique<connection_pool>(loop_, address, service.config_->tls_,
+                                                              service.connection_cap_);
+        const auto info =
+            std::find_if(service.listed_.begin(), service.listed_.end(),
+                         [&](const auto& candidate) { return candidate.address_ == address; });
+        const std::uint64_t incarnation = info == service.listed_.end() ? 0 : info->incarnation_;
+        connections.name_ = fmt::format("{}:{}/{}", address.ip_, address.port_, incarnation);
+    }
+    return connections;
+}
+
+connection_pool& front::pool_of(service_state& service, routing::target_index target)
+{
+    return *connections_of(service, target).pool_;
+}
+
+const std::string& front::target_name(service_state& service, routing::target_index target)
+{
+    return connections_of(service, target).name_;
+}
+
+std::string front::next_request_id()
+{
+    return fmt::format("{}{:x}", request_id_prefix_, ++last_request_);
+}
+
+duration front::retry_after()
+{
+    return retry_after_min +
+           std::chrono::milliseconds{uniform_below(random_, retry_after_spread_ms)};
+}
+
+void front::target_is_draining(service_state& service, routing::target_index target)
+{
+    const settings::endpoint& address = routing::address_of(service.view_, target);
+    for (routing::target_info& info : service.listed_) {
+        if (info.address_ == address && !info.leaving_) {
+            info.leaving_ = true;
+            if (events_.on_target_draining_) {
+                events_.on_target_draining_(service.config_->name_, address, info.incarnation_);
+            }
+        }
+    }
+    connections_of(service, target).pool_->close_idle();
+}
+
+// A connection could not be opened. If requests to the target broke a moment ago, it has crashed.
+void front::target_refused(service_state& service, routing::target_index target)
+{
+    if (!connections_of(service, target).broken_.empty()) {
+        crash_checked(service, target, false);
+    }
+}
+
+// A connection broke with a request in flight. Whether the target crashed shows when it accepts or
+// refuses a new connection; until then the request counts as running there.
+void front::request_broke(service_state& service, routing::target_index target,
+                          admission::fingerprint request)
+{
+    target_connections& connections = connections_of(service, target);
+    connections.broken_.push_back(request);
+    if (std::exchange(connections.checking_, true)) {
+        return;
+    }
+    connections.pool_->check(
+        [this, &service, target](bool accepts) { crash_checked(service, target, accepts); });
+}
+
+void front::crash_checked(service_state& service, routing::target_index target, bool accepts)
+{
+    target_connections& connections = connections_of(service, target);
+    connections.checking_ = false;
+    if (!accepts) {
+        telemetry::state_change(
+            "target_crashed", {{"service", service.config_->name_}, {"target", connections.name_}});
+        for (const admission::fingerprint suspect :
+             admission::target_crashed(quarantine_, connections.name_, loop_.now())) {
+            tell_suspicion(suspect);
+        }
+    }
+    for (const admission::fingerprint request : std::exchange(connections.broken_, {})) {
+        admission::ended(quarantine_, request, connections.name_, false);
+    }
+}
+
+void front::request_ended(admission::fingerprint request, std::string_view target, bool finished)
+{
+    if (admission::ended(quarantine_, request, target, finished)) {
+        tell_suspicion(request);
+    }
+}
+
+void front::tell_suspicion(admission::fingerprint request)
+{
+    if (events_.on_suspicion_) {
+        events_.on_suspicion_(admission::suspicion_of(quarantine_, request));
+    }
+}
+
+void front::forget(caller_connection& gone)
+{
+    const auto found = callers_.find(&gone);
+    if (found == callers_.end()) {
+        return;
+    }
+    loop_.retire(std::move(found->second));
+    callers_.erase(found);
+}
+
+void front::resume_later(caller_connection& caller)
+{
+    loop_.after(duration::zero(), [this, &caller] {
+        if (callers_.find(&caller) != callers_.end()) {
+            caller.on_data({});
+        }
+    });
+}
+
+// Once a second: old idle connections are closed, and gauges and connection counts are published.
+void front::tick()
+{
+    const time_point now = loop_.now();
+    metrics_.caller_connections_.Set(static_cast<double>(callers_.size()));
+    for (auto& service : services_) {
+        for (auto& [index, connections] : service->targets_) {
+            connections.pool_->close_aged(now);
+            publish(connections.pool_->take_counters());
+        }
+    }
+    loop_.after(tick_interval, [this] { tick(); });
+}
+
+void front::publish(const pool_counters& counted)
+{
+    using telemetry::connection_event;
+    const auto& events = metrics_.target_connections_;
+    events[connection_event::opened].Increment(static_cast<double>(counted.opened_));
+    events[connection_event::reused].Increment(static_cast<double>(counted.reused_));
+    events[connection_event::failed].Increment(static_cast<double>(counted.refused_));
+    events[connection_event::retired].Increment(
+        static_cast<double>(counted.retired_ + counted.poisoned_));
+}
+
+void front::begin_stop()
+{
+    if (std::exchange(stopping_, true)) {
+        return;
+    }
+    loop_.after(config_.listen_.stop_lag_, [this] { end_idle_callers(); });
+}
+
+void front::end_idle_callers()
+{
+    stop_lag_over_ = true;
+    loop_.stop_listening();
+    std::vector<caller_connection*> all;
+    for (auto& [caller, owned] : callers_) {
+        all.push_back(caller);
+    }
+    for (caller_connection* caller : all) {
+        caller->stop();
+    }
+    check_stopped();
+}
+
+// Waits for the last caller, and then until its connection has taken all of the answer.
+void front::check_stopped()
+{
+    if (!callers_.empty() || loop_.accepted() > 0) {
+        loop_.after(stop_check_interval, [this] { check_stopped(); });
+        return;
+    }
+    if (events_.on_stopped_) {
+        events_.on_stopped_();
+    }
+}
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/front.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+// The HTTP task: accepts callers, runs their calls, and keeps the connections to targets.
+// Everything but post() and the constructor runs on its loop's thread.
+
+#include "admission/admission.hpp"
+#include "admission/quarantine.hpp"
+#include "base/error.hpp"
+#include "base/mailbox.hpp"
+#include "base/random.hpp"
+#include "dispatch/call.hpp"
+#include "http/event_loop.hpp"
+#include "http/service_state.hpp"
+#include "peer/fact.hpp"
+#include "plans/lists.hpp"
+#include "routing/target.hpp"
+#include "settings/settings.hpp"
+#include "telemetry/metrics.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace savoryscale::http {
+
+class caller_connection;
+
+// What the HTTP task tells the others. Called on its thread; each posts to a mailbox.
+struct front_events {
+    std::function<void(std::string_view service, const settings::endpoint& target,
+                       std::uint64_t incarnation)>
+        on_target_draining_;
+    std::function<void(peer::fact)> on_suspicion_;
+    std::function<void()> on_stopped_; // the last caller has gone
+};
+
+class front {
+public:
+    front(event_loop& loop, const settings::settings& config, const telemetry::metrics& metrics,
+          std::uint64_t seed, front_events events);
+    ~front();
+    front(const front&) = delete;
+    front& operator=(const front&) = delete;
+
+    // Starts to listen; returns the port in use.
+    result<std::uint16_t> open();
+
+    // Has `action` run on this task's thread. From any thread.
+    void post(std::function<void(front&)> action);
+
+    // Runs what was posted. The loop's owner calls it at each wake-up.
+    void run_posted();
+
+    // Configuration, targets and suspicions, as the control plane learns them.
+    void set_lists(const plans::lists& lists);
+    void set_targets(std::string_view service, std::vector<routing::target_info> targets);
+    void set_probe_share(std::string_view service, double probes_per_second);
+    void merge_suspicion(const peer::fact& suspicion);
+
+    // Stops gracefully: accepts for the balancer's lag, answers with Connection: close, then ends
+    // idle connections and waits for the busy ones. on_stopped_ follows.
+    void begin_stop();
+
+    [[nodiscard]] std::size_t callers() const { return callers_.size(); }
+
+    // For caller connections and their calls.
+    [[nodiscard]] event_loop& loop() { return loop_; }
+    [[nodiscard]] const settings::settings& config() const { return config_; }
+    [[nodiscard]] bool is_stopping() const { return stopping_; }
+    [[nodiscard]] bool ends_idle_callers() const { return stop_lag_over_; }
+    [[nodiscard]] random_source& random() { return random_; }
+    [[nodiscard]] admission::quarantine& quarantined() { return quarantine_; }
+    service_state* find_service(std::string_view target);
+    admission::verdict admit(std::string_view customer, const service_state& service);
+    void release(std::string_view customer, const service_state& service);
+    connection_pool& pool_of(service_state& service, routing::target_index target);
+    const std::string& target_name(service_state& service, routing::target_index target);
+    std::string next_request_id();
+    duration retry_after();
+    void target_is_draining(service_state& service, routing::target_index target);
+    void target_refused(service_state& service, routing::target_index target);
+    void request_broke(service_state& service, routing::target_index target,
+                       admission::fingerprint request);
+    void request_ended(admission::fingerprint request, std::string_view target, bool finished);
+    void forget(caller_connection& gone);
+    void resume_later(caller_connection& caller);
+    [[nodiscard]] const telemetry::metrics& metrics() const { return metrics_; }
+
+private:
+    target_connections& connections_of(service_state& service, routing::target_index target);
+    void apply_targets(service_state& service);
+    void crash_checked(service_state& service, routing::target_index target, bool accepts);
+    void tell_suspicion(admission::fingerprint request);
+    void tick();
+    void publish(const pool_counters& counted);
+    void end_idle_callers();
+    void check_stopped();
+
+    event_loop& loop_;
+    const settings::settings& config_;
+    front_events events_;
+    random_source random_;
+    const telemetry::metrics& metrics_;
+    std::vector<std::unique_ptr<service_state>> services_; // longest path prefix first
+    admission::state admission_;
+    admission::quarantine quarantine_;
+    mailbox<std::function<void(front&)>> inbox_;
+    std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> callers_;
+    std::string request_id_prefix_;
+    std::uint64_t last_request_ = 0;
+    bool stopping_ = false;
+    bool stop_lag_over_ = false;
+};
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/head.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+// The heads of HTTP/1.1 messages as they were received.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savoryscale::http {
+
+// One header field, in the sender's spelling.
+struct header_field {
+    std::string name_;
+    std::string value_;
+};
+
+// What requests and answers have in common: fields and the framing they declare.
+struct message_head {
+    std::vector<header_field> fields_;
+    std::optional<std::uint64_t> content_length_;
+    bool chunked_ = false;
+    bool keep_alive_ = true;
+    unsigned version_ = 11; // 10 or 11
+};
+
+struct request_head : message_head {
+    std::string method_;
+    std::string target_; // path and query
+};
+
+struct answer_head : message_head {
+    int status_ = 0;
+    std::string reason_;
+};
+
+// The value of the first field of that name, in any case; empty when there is none.
+std::string_view find_field(const message_head& head, std::string_view name);
+
+// Whether a field of that name is present.
+bool has_field(const message_head& head, std::string_view name);
+
+// Whether two strings are equal but for ASCII case.
+bool equal_ignoring_case(std::string_view left, std::string_view right);
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/head_text.cpp
@@ -0,0 +1,186 @@
+#include "http/head_text.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace savoryscale::http {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> connection_fields{"Connection",
+                                                             "Keep-Alive",
+                                                             "Proxy-Authenticate",
+                                                             "Proxy-Authorization",
+                                                             "Proxy-Connection",
+                                                             "TE",
+                                                             "Trailer",
+                                                             "Transfer-Encoding",
+                                                             "Upgrade",
+                                                             "Content-Length"};
+
+constexpr std::array<std::string_view, 5> own_fields{"Expect", deadline_field, request_id_field,
+                                                     outcome_field, "traceparent"};
+
+struct status_text {
+    int status_;
+    std::string_view text_;
+};
+
+constexpr std::array<status_text, 15> status_texts{{{400, "Bad Request"},
+                                                    {403, "Forbidden"},
+                                                    {404, "Not Found"},
+                                                    {408, "Request Timeout"},
+                                                    {409, "Conflict"},
+                                                    {413, "Content Too Large"},
+                                                    {422, "Unprocessable Content"},
+                                                    {429, "Too Many Requests"},
+                                                    {431, "Request Header Fields Too Large"},
+                                                    {500, "Internal Server Error"},
+                                                    {501, "Not Implemented"},
+                                                    {502, "Bad Gateway"},
+                                                    {503, "Service Unavailable"},
+                                                    {504, "Gateway Timeout"},
+                                                    {505, "HTTP Version Not Supported"}}};
+
+std::string_view reason_of(int status)
+{
+    const auto found = std::find_if(status_texts.begin(), status_texts.end(),
+                                    [&](const status_text& row) { return row.status_ == status; });
+    return found == status_texts.end() ? "Error" : found->text_;
+}
+
+template<std::size_t Count>
+bool is_among(const std::array<std::string_view, Count>& names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [&](std::string_view candidate) {
+        return equal_ignoring_case(candidate, name);
+    });
+}
+
+std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+// Whether any Connection field names `name`.
+bool is_named_by_connection(const message_head& head, std::string_view name)
+{
+    for (const header_field& field : head.fields_) {
+        if (!equal_ignoring_case(field.name_, "Connection")) {
+            continue;
+        }
+        std::string_view rest{field.value_};
+        while (!rest.empty()) {
+            const auto comma = std::min(rest.find(','), rest.size());
+            if (equal_ignoring_case(trim(rest.substr(0, comma)), name)) {
+                return true;
+            }
+            rest.remove_prefix(std::min(comma + 1, rest.size()));
+        }
+    }
+    return false;
+}
+
+void append_fields(std::string& text, const message_head& head)
+{
+    for (const header_field& field : head.fields_) {
+        if (is_hop_by_hop(head, field.name_)) {
+            continue;
+        }
+        text.append(field.name_).append(": ").append(field.value_).append("\r\n");
+    }
+}
+
+void append_framing(std::string& text, const message_head& head)
+{
+    if (head.chunked_) {
+        text.append("Transfer-Encoding: chunked\r\n");
+    }
+    else if (head.content_length_) {
+        fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", *head.content_length_);
+    }
+}
+
+} // namespace
+
+bool is_hop_by_hop(const message_head& head, std::string_view name)
+{
+    return is_among(connection_fields, name) || is_among(own_fields, name) ||
+           is_named_by_connection(head, name);
+}
+
+std::string upstream_request_text(const request_head& head, const forwarded_fields& added)
+{
+    std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method_, head.target_);
+    append_fields(text, head);
+    append_framing(text, head);
+    if (!added.traceparent_.empty()) {
+        text.append("traceparent: ").append(added.traceparent_).append("\r\n");
+    }
+    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(added.remaining_);
+    fmt::format_to(std::back_inserter(text), "{}: {}\r\n{}: {}\r\n", deadline_field,
+                   std::max<std::int64_t>(remaining.count(), 1), request_id_field,
+                   added.request_id_);
+    if (!added.inner_retries_ && !has_field(head, no_retry_field)) {
+        fmt::format_to(std::back_inserter(text), "{}: 1\r\n", no_retry_field);
+    }
+    text.append("\r\n");
+    return text;
+}
+
+std::string caller_answer_text(const answer_head& head, bool close)
+{
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status_, head.reason_);
+    append_fields(text, head);
+    append_framing(text, head);
+    if (close) {
+        text.append("Connection: close\r\n");
+    }
+    text.append("\r\n");
+    return text;
+}
+
+bool answers_request(const answer_head& head, std::string_view request_id)
+{
+    const std::string_view echoed = find_field(head, request_id_field);
+    return echoed.empty() || echoed == request_id;
+}
+
+std::string local_answer_text(const local_answer& answer, bool without_body)
+{
+    std::string text = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\n"
+                                   "Content-Length: {}\r\n{}: {}\r\n",
+                                   answer.status_, reason_of(answer.status_),
+                                   answer.text_.size() + 1, outcome_field, answer.outcome_);
+    if (answer.retry_after_) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*answer.retry_after_);
+        fmt::format_to(std::back_inserter(text), "Retry-After: {}\r\n", seconds.count());
+    }
+    if (answer.close_) {
+        text.append("Connection: close\r\n");
+    }
+    text.append("\r\n");
+    if (!without_body) {
+        text.append(answer.text_).append("\n");
+    }
+    return text;
+}
+
+std::string chunk_text(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return "0\r\n\r\n";
+    }
+    std::string text = fmt::format("{:x}\r\n", bytes.size());
+    text.append(bytes).append("\r\n");
+    return text;
+}
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/load_fields.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+// Load that a target reports about itself, in the fields of its answers and in its probe answers.
+
+#include "http/head.hpp"
+#include "routing/target.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace savoryscale::http {
+
+// Reads X-Load-In-Flight, X-Load-Utilization and X-Draining. None when the answer carries no load;
+// fields that are no numbers are ignored, since reports may mislead but must not break a call.
+std::optional<routing::load_report> read_load(const answer_head& head);
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/message_reader.cpp
@@ -0,0 +1,290 @@
+#include "http/message_reader.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <fmt/format.h>
+
+#include <limits>
+#include <type_traits>
+#include <utility>
+
+namespace savoryscale::http {
+
+namespace beast = boost::beast;
+
+namespace detail {
+
+// Collects what the library's parser reports into a Head and a body string.
+template<class Head>
+class message_parser : public beast::http::basic_parser<std::is_same_v<Head, request_head>> {
+public:
+    static constexpr bool is_request = std::is_same_v<Head, request_head>;
+    using base = beast::http::basic_parser<is_request>;
+
+    explicit message_parser(std::uint32_t max_header_bytes)
+    {
+        this->eager(true);
+        this->header_limit(max_header_bytes);
+        this->body_limit(std::numeric_limits<std::uint64_t>::max());
+    }
+
+    Head head_;
+    std::string* body_ = nullptr; // where decoded body bytes go during put()
+    bool head_done_ = false;
+
+private:
+    using error_code = beast::error_code;
+    using string_view = beast::string_view;
+
+    void on_request_impl(beast::http::verb /*verb*/, string_view method, string_view target,
+                         int version, error_code& /*fault*/) override
+    {
+        if constexpr (is_request) {
+            head_.method_.assign(method.data(), method.size());
+            head_.target_.assign(target.data(), target.size());
+            head_.version_ = static_cast<unsigned>(version);
+        }
+    }
+
+    void on_response_impl(int code, string_view reason, int version, error_code& /*fault*/) override
+    {
+        if constexpr (!is_request) {
+            head_.status_ = code;
+            head_.reason_.assign(reason.data(), reason.size());
+            head_.version_ = static_cast<unsigned>(version);
+        }
+    }
+
+    void on_field_impl(beast::http::field name, string_view spelled, string_view value,
+                       error_code& fault) override
+    {
+        if (head_done_) {
+            return; // trailers are not passed on
+        }
+        if (name == beast::http::field::content_length) {
+            if (++content_lengths_ > 1) {
+                fault = beast::http::error::bad_content_length;
+                return;
+            }
+        }
+        if (name == beast::http::field::transfer_encoding) {
+            const std::string_view coding{value.data(), value.size()};
+            if (++transfer_encodings_ > 1 || !equal_ignoring_case(coding, "chunked")) {
+                fault = beast::http::error::bad_transfer_encoding;
+                return;
+            }
+        }
+        head_.fields_.push_back(
+            {std::string{spelled.data(), spelled.size()}, std::string{value.data(), value.size()}});
+    }
+
+    void on_header_impl(error_code& /*fault*/) override
+    {
+        head_.chunked_ = this->chunked();
+        head_.keep_alive_ = this->keep_alive();
+        if (this->content_length()) {
+            head_.content_length_ = *this->content_length();
+        }
+        head_done_ = true;
+    }
+
+    void on_body_init_impl(boost::optional<std::uint64_t> const& /*length*/,
+                           error_code& /*fault*/) override
+    {
+    }
+
+    std::size_t on_body_impl(string_view bytes, error_code& /*fault*/) override
+    {
+        body_->append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/, string_view /*extensions*/,
+                              error_code& /*fault*/) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view bytes,
+                                   error_code& /*fault*/) override
+    {
+        body_->append(bytes.data(), bytes.size());
+        return bytes.size();
+    }
+
+    void on_finish_impl(error_code& /*fault*/) override {}
+
+    int content_lengths_ = 0;
+    int transfer_encodings_ = 0;
+};
+
+} // namespace detail
+
+namespace {
+
+constexpr std::string_view end_of_head = "\r\n\r\n";
+
+error malformed(std::string what)
+{
+    return error{error_kind::invalid, "HTTP message", std::move(what),
+                 "send one well-formed HTTP/1.1 message at a time"};
+}
+
+// Checks that each line of the head ends in CR LF, that no line continues another, and that there
+// are no NUL bytes. `text` begins at the byte after `before`.
+result<void> check_line_ends(std::string_view text, char before)
+{
+    char previous = before;
+    for (const char letter : text) {
+        if (letter == '\n' && previous != '\r') {
+            return tl::unexpected(malformed("bare line feed in the header"));
+        }
+        if (previous == '\r' && letter != '\n') {
+            return tl::unexpected(malformed("bare carriage return in the header"));
+        }
+        if (previous == '\n' && (letter == ' ' || letter == '\t')) {
+            return tl::unexpected(malformed("folded header line"));
+        }
+        if (letter == '\0') {
+            return tl::unexpected(malformed("NUL byte in the header"));
+        }
+        previous = letter;
+    }
+    return {};
+}
+
+} // namespace
+
+template<class Head>
+message_reader<Head>::message_reader(std::uint32_t max_header_bytes)
+    : max_header_bytes_{max_header_bytes},
+      parser_{std::make_unique<detail::message_parser<Head>>(max_header_bytes)}
+{
+}
+
+template<class Head>
+message_reader<Head>::~message_reader() = default;
+template<class Head>
+message_reader<Head>::message_reader(message_reader&&) noexcept = default;
+template<class Head>
+message_reader<Head>& message_reader<Head>::operator=(message_reader&&) noexcept = default;
+
+template<class Head>
+result<void> message_reader<Head>::feed(std::string_view bytes, std::string& body)
+{
+    pending_.append(bytes);
+    if (complete()) {
+        return {};
+    }
+    parser_->body_ = &body;
+    if (!has_head()) {
+        auto read = read_head();
+        if (!read || !has_head()) {
+            return read;
+        }
+    }
+    return read_body(body);
+}
+
+// Hands the head to the parser once all of it is here.
+template<class Head>
+result<void> message_reader<Head>::read_head()
+{
+    const std::string_view text{pending_};
+    const std::size_t from = scanned_ < end_of_head.size() ? 0 : scanned_ - end_of_head.size();
+    const std::size_t end = text.find(end_of_head, from);
+    const std::size_t head_bytes =
+        end == std::string_view::npos ? text.size() : end + end_of_head.size();
+    if (head_bytes > max_header_bytes_) {
+        return tl::unexpected(error{error_kind::exhausted, "HTTP message",
+                                    fmt::format("header over {} bytes", max_header_bytes_),
+                                    "send a smaller header or raise max_header_bytes"});
+    }
+    const char before = scanned_ == 0 ? '\0' : text[scanned_ - 1];
+    if (auto checked = check_line_ends(text.substr(scanned_, head_bytes - scanned_), before);
+        !checked) {
+        return checked;
+    }
+    scanned_ = head_bytes;
+    if (end == std::string_view::npos) {
+        return {};
+    }
+    if (text.substr(0, 2) == "\r\n") {
+        return tl::unexpected(malformed("empty line before the message"));
+    }
+    beast::error_code fault;
+    const std::size_t used =
+        parser_->put(boost::asio::const_buffer{text.data(), head_bytes}, fault);
+    pending_.erase(0, used);
+    if (fault && fault != beast::http::error::need_more) {
+        return tl::unexpected(malformed(fault.message()));
+    }
+    if (!has_head()) {
+        return tl::unexpected(malformed("header ends early"));
+    }
+    return {};
+}
+
+// Decodes as much of the body as is here.
+template<class Head>
+result<void> message_reader<Head>::read_body(std::string& /*body*/)
+{
+    std::size_t used = 0;
+    while (!parser_->is_done() && used < pending_.size()) {
+        beast::error_code fault;
+        const std::size_t taken = parser_->put(
+            boost::asio::const_buffer{pending_.data() + used, pending_.size() - used}, fault);
+        used += taken;
+        if (fault == beast::http::error::need_more) {
+            break;
+        }
+        if (fault) {
+            return tl::unexpected(malformed(fault.message()));
+        }
+        if (taken == 0) {
+            break;
+        }
+    }
+    pending_.erase(0, used);
+    if (!parser_->is_done() && pending_.size() > max_header_bytes_) {
+        return tl::unexpected(malformed("chunk header or trailer too long"));
+    }
+    return {};
+}
+
+template<class Head>
+bool message_reader<Head>::has_head() const
+{
+    return parser_->head_done_;
+}
+
+template<class Head>
+const Head& message_reader<Head>::head() const
+{
+    return parser_->head_;
+}
+
+template<class Head>
+bool message_reader<Head>::complete() const
+{
+    return parser_->is_done();
+}
+
+template<class Head>
+bool message_reader<Head>::ends_with_connection() const
+{
+    return has_head() && parser_->need_eof();
+}
+
+template<class Head>
+void message_reader<Head>::next(bool without_body)
+{
+    parser_ = std::make_unique<detail::message_parser<Head>>(max_header_bytes_);
+    parser_->skip(without_body);
+    scanned_ = 0;
+}
+
+template class message_reader<request_head>;
+template class message_reader<answer_head>;
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/proxied_call.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+// One call in progress: carries out what dispatch decides, between a caller's connection and the
+// upstream connections of its attempts.
+
+#include "admission/quarantine.hpp"
+#include "base/clock.hpp"
+#include "dispatch/call.hpp"
+#include "http/event_loop.hpp"
+#include "http/head.hpp"
+#include "http/upstream_exchange.hpp"
+#include "routing/target.hpp"
+#include "telemetry/metrics.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace savoryscale::http {
+
+class caller_connection;
+class connection_pool;
+class front;
+struct service_state;
+class proxied_call;
+
+// One attempt of a call on one target.
+class attempt_exchange final : public upstream_exchange {
+public:
+    void on_ready(upstream_connection& connection) override;
+    void on_answer_head(const answer_head& head) override;
+    void on_answer_body(std::string_view bytes) override;
+    void on_answer_complete() override;
+    void on_failed(exchange_failure failure) override;
+    void on_drained() override;
+
+private:
+    friend class proxied_call;
+
+    proxied_call* call_ = nullptr;
+    dispatch::attempt_id id_ = 0;
+    routing::target_index target_ = 0;
+    connection_pool* pool_ = nullptr;
+    upstream_connection* connection_ = nullptr;
+    timer_id open_timer_ = 0;
+    time_point started_{};
+    time_point sent_{};
+    duration latency_{};
+    std::optional<routing::load_report> load_;
+    std::string request_id_;
+    std::string target_name_; // for the quarantine
+    int status_ = 0;
+    bool live_ = false;  // counts as in flight at its target
+    bool ready_ = false; // its connection is open
+};
+
+class proxied_call {
+public:
+    proxied_call(front& owner, caller_connection& caller, const request_head& head);
+    ~proxied_call();
+    proxied_call(const proxied_call&) = delete;
+    proxied_call& operator=(const proxied_call&) = delete;
+
+    // Admits or refuses the call.
+    void start();
+
+    // The request's body, decoded, and its end.
+    void on_request_body(std::string_view bytes);
+    void on_request_end();
+
+    // The caller's connection closed, or its request turned out malformed.
+    void on_caller_gone();
+
+    // The caller's kernel took everything queued.
+    void on_caller_drained();
+
+private:
+    friend class attempt_exchange;
+
+    void refuse(int status, std::string text, std::optional<duration> retry_after);
+    void dispatch_when_ready();
+    void execute(const dispatch::actions& todo);
+    void open_attempt(dispatch::attempt_id id);
+    upstream_connection* acquire_target(attempt_exchange& attempt);
+    void send_request(attempt_exchange& attempt);
+    void send_body_to(upstream_connection& connection, std::string_view bytes);
+    void end_request_on(upstream_connection& connection);
+    void cancel_attempt(dispatch::attempt_id id);
+    void report_end(attempt_exchange& attempt, routing::attempt_end end, bool finished);
+    void fail_attempt(attempt_exchange& attempt, dispatch::attempt_failure failure);
+    void arm_hedge();
+    void on_hedge_due();
+    void on_deadline();
+    void note_progress();
+    void check_progress();
+    void count_end(telemetry::request_end end);
+    void finish();
+
+    front& front_;
+    caller_connection& caller_;
+    request_head head_;
+    service_state* service_ = nullptr;
+    dispatch::call state_;
+    std::array<attempt_exchange, dispatch::attempts_max> exchanges_;
+    std::string customer_;
+    std::string body_; // what of the request's body is held, from its beginning while replayable
+    std::uint64_t body_bytes_ = 0;
+    admission::fingerprint fingerprint_ = 0;
+    time_point started_{};
+    time_point deadline_{};
+    time_point progress_due_{};
+    timer_id deadline_timer_ = 0;
+    timer_id hedge_timer_ = 0;
+    timer_id progress_timer_ = 0;
+    bool admitted_ = false;
+    bool dispatched_ = false;
+    bool request_ended_ = false;
+    bool finished_ = false;
+    bool deadline_reached_ = false;
+};
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/service_state.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+// What the HTTP task knows of one service and its targets.
+
+#include "admission/quarantine.hpp"
+#include "http/connection_pool.hpp"
+#include "routing/service_view.hpp"
+#include "settings/settings.hpp"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace savoryscale::http {
+
+// Connections to one target, and the requests whose connections to it broke a moment ago.
+struct target_connections {
+    std::unique_ptr<connection_pool> pool_;
+    std::string name_;                           // address and incarnation
+    std::vector<admission::fingerprint> broken_; // until the check has answered
+    bool checking_ = false;
+};
+
+struct service_state {
+    const settings::service* config_ = nullptr;
+    routing::service_view view_;
+    std::map<routing::target_index, target_connections> targets_;
+    std::vector<routing::target_info> listed_;
+    std::size_t connection_cap_ = 1; // of this host to each target
+};
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/socket.cpp
@@ -0,0 +1,149 @@
+#include "http/socket.hpp"
+
+#include "http/event_loop.hpp"
+
+#include <libwebsockets.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace savoryscale::http {
+
+namespace {
+
+// Most bytes handed to the library in one call; larger writes would be copied inside it.
+constexpr std::size_t write_chunk_bytes = 65536;
+
+// Consumed output is dropped from the front of the queue once it is this long.
+constexpr std::size_t compact_bytes = 262144;
+
+} // namespace
+
+socket::socket(event_loop& loop, socket_handler* handler) : loop_{loop}, handler_{handler} {}
+
+socket::~socket()
+{
+    loop_.cancel(linger_timer_);
+}
+
+void socket::write(std::string_view bytes)
+{
+    if (killed_ || finishing_) {
+        return;
+    }
+    output_.append(bytes);
+    if (wsi_ != nullptr) {
+        lws_callback_on_writable(wsi_);
+    }
+}
+
+void socket::pause_reading()
+{
+    if (reading_ && wsi_ != nullptr && !killed_) {
+        reading_ = false;
+        lws_rx_flow_control(wsi_, 0);
+    }
+}
+
+void socket::resume_reading()
+{
+    if (!reading_ && wsi_ != nullptr && !killed_) {
+        reading_ = true;
+        lws_rx_flow_control(wsi_, 1);
+    }
+}
+
+void socket::close()
+{
+    handler_ = nullptr;
+    kill();
+}
+
+void socket::finish(duration linger)
+{
+    handler_ = nullptr;
+    if (killed_) {
+        return;
+    }
+    finishing_ = true;
+    resume_reading();
+    linger_timer_ = loop_.after(linger, [this] {
+        linger_timer_ = 0;
+        kill();
+    });
+    lws_callback_on_writable(wsi_);
+}
+
+// Has the library close the connection: from inside its callback by return value, otherwise soon.
+void socket::kill()
+{
+    if (killed_) {
+        return;
+    }
+    killed_ = true;
+    want_close_ = true;
+    if (wsi_ != nullptr) {
+        lws_set_timeout(wsi_, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
+    }
+}
+
+void socket::handle_data(std::string_view bytes)
+{
+    if (handler_ != nullptr) {
+        handler_->on_data(bytes);
+    }
+}
+
+// Hands the kernel as much as it takes. A write that the kernel takes only in part stays with the
+// library, which reports the socket as choked until it is gone.
+void socket::handle_writable()
+{
+    if (killed_) {
+        return;
+    }
+    while (queued() > 0) {
+        if (lws_send_pipe_choked(wsi_) != 0) {
+            lws_callback_on_writable(wsi_);
+            return;
+        }
+        const std::size_t length = std::min(queued(), write_chunk_bytes);
+        auto* bytes = reinterpret_cast<unsigned char*>(output_.data() + sent_);
+        if (lws_write(wsi_, bytes, length, LWS_WRITE_RAW) < 0) {
+            want_close_ = true;
+            return;
+        }
+        sent_ += length;
+        bytes_written_ += length;
+        if (sent_ >= compact_bytes) {
+            output_.erase(0, sent_);
+            sent_ = 0;
+        }
+    }
+    output_.clear();
+    sent_ = 0;
+    if (finishing_) {
+        if (lws_partial_buffered(wsi_) != 0) {
+            lws_callback_on_writable(wsi_);
+            return;
+        }
+        if (lws_is_ssl(wsi_) == 0) {
+            ::shutdown(lws_get_socket_fd(wsi_), SHUT_WR);
+        }
+        return;
+    }
+    if (handler_ != nullptr) {
+        handler_->on_drained();
+    }
+}
+
+void socket::handle_closed()
+{
+    wsi_ = nullptr;
+    killed_ = true;
+    socket_handler* handler = std::exchange(handler_, nullptr);
+    if (handler != nullptr) {
+        handler->on_closed();
+    }
+}
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/upstream_connection.cpp
@@ -0,0 +1,203 @@
+#include "http/upstream_connection.hpp"
+
+#include "http/connection_pool.hpp"
+#include "http/event_loop.hpp"
+#include "http/upstream_exchange.hpp"
+
+#include <utility>
+
+namespace savoryscale::http {
+
+namespace {
+
+constexpr std::uint32_t max_answer_header_bytes = 65536;
+constexpr int first_final_status = 200;
+
+} // namespace
+
+upstream_connection::upstream_connection(connection_pool& pool, time_point now, bool spare)
+    : pool_{pool}, reader_{max_answer_header_bytes}, last_proof_{now}, spare_{spare}
+{
+}
+
+upstream_connection::~upstream_connection()
+{
+    shut();
+}
+
+void upstream_connection::shut()
+{
+    exchange_ = nullptr;
+    if (stream_ != nullptr) {
+        std::exchange(stream_, nullptr)->close();
+    }
+}
+
+void upstream_connection::assign(upstream_exchange* exchange)
+{
+    exchange_ = exchange;
+    head_delivered_ = false;
+    head_sent_ = false;
+    request_ended_ = false;
+    written_before_ = stream_ == nullptr ? 0 : stream_->bytes_written();
+    if (open_ && exchange_ != nullptr) {
+        exchange_->on_ready(*this);
+    }
+}
+
+void upstream_connection::send_head(std::string_view text, bool without_body)
+{
+    head_request_ = without_body;
+    reader_.next(without_body);
+    head_sent_ = true;
+    stream_->write(text);
+}
+
+void upstream_connection::send_body(std::string_view text)
+{
+    stream_->write(text);
+}
+
+std::size_t upstream_connection::queued() const
+{
+    return stream_ == nullptr ? 0 : stream_->queued();
+}
+
+bool upstream_connection::request_left() const
+{
+    return head_sent_ && (stream_ == nullptr || stream_->bytes_written() > written_before_);
+}
+
+void upstream_connection::pause_reading()
+{
+    if (stream_ != nullptr) {
+        stream_->pause_reading();
+    }
+}
+
+void upstream_connection::resume_reading()
+{
+    if (stream_ != nullptr) {
+        stream_->resume_reading();
+    }
+}
+
+void upstream_connection::abandon()
+{
+    exchange_ = nullptr;
+    pool_.connection_released(*this, false);
+}
+
+void upstream_connection::on_connected()
+{
+    open_ = true;
+    last_proof_ = pool_.loop().now();
+    if (exchange_ != nullptr) {
+        exchange_->on_ready(*this);
+    }
+    else {
+        pool_.connection_opened(*this);
+    }
+}
+
+void upstream_connection::on_data(std::string_view bytes)
+{
+    // An answer cannot come before its request has left: these bytes belong to nobody.
+    if (exchange_ == nullptr || !request_left()) {
+        pool_.connection_poisoned();
+        fail();
+        return;
+    }
+    body_.clear();
+    if (!reader_.feed(bytes, body_)) {
+        fail();
+        return;
+    }
+    deliver();
+}
+
+// Passes what has been read to the exchange. Interim answers (1xx) are dropped.
+void upstream_connection::deliver()
+{
+    while (reader_.has_head() && reader_.head().status_ < first_final_status) {
+        reader_.next(head_request_);
+        if (!reader_.feed({}, body_)) {
+            fail();
+            return;
+        }
+    }
+    if (!reader_.has_head()) {
+        return;
+    }
+    upstream_exchange* const receiver = exchange_;
+    if (!head_delivered_) {
+        if (reader_.ends_with_connection()) {
+            fail(); // its end could not be told from a broken connection
+            return;
+        }
+        head_delivered_ = true;
+        last_proof_ = pool_.loop().now();
+        receiver->on_answer_head(reader_.head());
+    }
+    if (exchange_ == receiver && !body_.empty()) {
+        receiver->on_answer_body(body_);
+    }
+    if (exchange_ == receiver && reader_.complete()) {
+        complete();
+    }
+}
+
+void upstream_connection::complete()
+{
+    const bool surplus = reader_.pending_bytes() > 0;
+    if (surplus) {
+        pool_.connection_poisoned();
+    }
+    const bool reusable = !surplus && request_ended_ && reader_.head().keep_alive_ && queued() == 0;
+    upstream_exchange* const receiver = std::exchange(exchange_, nullptr);
+    last_proof_ = pool_.loop().now();
+    resume_reading();
+    pool_.connection_released(*this, reusable);
+    receiver->on_answer_complete();
+}
+
+// Ends the exchange, if there is one, and the connection.
+void upstream_connection::fail()
+{
+    upstream_exchange* const receiver = std::exchange(exchange_, nullptr);
+    const bool left = request_left();
+    pool_.connection_released(*this, false);
+    if (receiver != nullptr) {
+        receiver->on_failed(left ? exchange_failure::broken : exchange_failure::unsent);
+    }
+}
+
+void upstream_connection::on_drained()
+{
+    if (exchange_ != nullptr) {
+        exchange_->on_drained();
+    }
+}
+
+void upstream_connection::on_closed()
+{
+    const bool left = request_left();
+    stream_ = nullptr;
+    upstream_exchange* const receiver = std::exchange(exchange_, nullptr);
+    const bool was_open = open_;
+    if (!was_open) {
+        pool_.connection_refused();
+    }
+    pool_.connection_closed(*this);
+    if (receiver == nullptr) {
+        return;
+    }
+    if (!was_open) {
+        receiver->on_failed(exchange_failure::refused);
+    }
+    else {
+        receiver->on_failed(left ? exchange_failure::broken : exchange_failure::unsent);
+    }
+}
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/upstream_exchange.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+// One request and its answer on one upstream connection.
+
+#include "http/head.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+namespace savoryscale::http {
+
+class upstream_connection;
+
+// How an exchange ended without a complete answer.
+enum class exchange_failure : std::uint8_t {
+    unsent,  // no byte of the request left this host
+    refused, // the same, and the target refused the connection
+    broken,  // the connection closed or the answer was malformed after bytes had left
+};
+
+// The user of a connection during one exchange. After on_answer_complete or on_failed the
+// connection no longer belongs to it.
+class upstream_exchange {
+public:
+    // The connection is open and nobody else's: send the request.
+    virtual void on_ready(upstream_connection& connection) = 0;
+    virtual void on_answer_head(const answer_head& head) = 0;
+    virtual void on_answer_body(std::string_view bytes) = 0;
+    virtual void on_answer_complete() = 0;
+    virtual void on_failed(exchange_failure failure) = 0;
+    virtual void on_drained() {} // what was written has been taken by the kernel
+
+protected:
+    ~upstream_exchange() = default;
+};
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/tests/http_path_test.cpp
@@ -0,0 +1,281 @@
+// The whole path of one host over real sockets: caller, HTTP task, scripted upstream.
+
+#include "support/fake_upstream.hpp"
+#include "support/running_front.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savoryscale;
+using namespace savoryscale::testing;
+
+namespace {
+
+constexpr std::string_view get = "GET /lot/7 HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr std::string_view commit =
+    "POST /lot/7 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nsold";
+
+// Answers every request with its own request line.
+void echo(script_connection& connection, int /*number*/)
+{
+    while (true) {
+        const std::string request = connection.read_request();
+        if (request.empty()) {
+            return;
+        }
+        connection.send(ok_answer(request.substr(0, request.find('\r'))));
+    }
+}
+
+bool contains(const std::string& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(http_path){};
+
+TEST(http_path, passes_requests_and_answers_on_one_connection)
+{
+    fake_upstream upstream{echo};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    for (int i = 0; i < 20; ++i) {
+        const std::string line = "GET /lot/" + std::to_string(i) + " HTTP/1.1";
+        caller.send(line + "\r\nHost: a\r\n\r\n");
+        const std::string answer = caller.read_answer();
+        STRCMP_CONTAINS("200 OK", answer.c_str());
+        CHECK(contains(answer, "\r\n\r\n" + line));
+    }
+}
+
+TEST(http_path, answers_pipelined_requests_in_order)
+{
+    fake_upstream upstream{echo};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(contains(caller.read_answer(), "GET /1 "));
+    CHECK(contains(caller.read_answer(), "GET /2 "));
+}
+
+TEST(http_path, passes_bodies_in_both_framings)
+{
+    fake_upstream upstream{[](script_connection& connection, int) {
+        const std::string request = connection.read_request();
+        const bool chunked = contains(request, "Transfer-Encoding: chunked") &&
+                             contains(request, "4\r\nsold\r\n0\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        connection.send(chunked ? "3\r\nyes\r\n0\r\n\r\n" : "2\r\nno\r\n0\r\n\r\n");
+        connection.read_request();
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send("POST /lot HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "4\r\nsold\r\n0\r\n\r\n");
+    CHECK(contains(caller.read_answer(), "3\r\nyes\r\n0\r\n\r\n"));
+}
+
+TEST(http_path, refuses_what_two_parsers_could_read_differently)
+{
+    std::atomic<int> requests = 0;
+    fake_upstream upstream{[&](script_connection& connection, int) {
+        while (!connection.read_request().empty()) {
+            ++requests;
+            connection.send(ok_answer("x"));
+        }
+    }};
+    running_front host{one_service({upstream.port()})};
+    const std::vector<std::string> attacks{
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"
+        "0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\nabcd",
+        "GET / HTTP/1.1\nHost: a\n\n",
+        "GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nX: b\r\n c\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nX : b\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(40000, 'y') + "\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabcd\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "ffffffffffffffff1\r\nabcd\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+    };
+    for (const std::string& attack : attacks) {
+        test_client caller{host.port()};
+        caller.send(attack);
+        const std::string answer = caller.read_to_end();
+        const bool refused = contains(answer, "HTTP/1.1 400 ") || contains(answer, "HTTP/1.1 431 ");
+        CHECK_TEXT(refused, (attack.substr(0, 80) + " got " + answer).c_str());
+        CHECK(contains(answer, "Savoryscale-Outcome: not-run"));
+    }
+    LONGS_EQUAL(0, requests);
+}
+
+TEST(http_path, a_surplus_answer_reaches_nobody)
+{
+    fake_upstream upstream{[](script_connection& connection, int number) {
+        while (!connection.read_request().empty()) {
+            connection.send(ok_answer("own") + (number == 0 ? ok_answer("stray") : ""));
+        }
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    for (int i = 0; i < 5; ++i) {
+        caller.send(get);
+        CHECK(contains(caller.read_answer(), "\r\n\r\nown"));
+    }
+    CHECK(upstream.connections() > 1);
+}
+
+TEST(http_path, an_answer_with_anothers_request_id_reaches_nobody)
+{
+    fake_upstream upstream{[](script_connection& connection, int) {
+        while (!connection.read_request().empty()) {
+            connection.send(ok_answer("stray", "Savoryscale-Request-Id: other\r\n"));
+        }
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send(get);
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, " 502 "));
+    CHECK(contains(answer, "Savoryscale-Outcome: unknown"));
+    CHECK(!contains(answer, "stray"));
+}
+
+TEST(http_path, a_short_body_is_broken_off_visibly)
+{
+    fake_upstream upstream{[](script_connection& connection, int) {
+        connection.read_request();
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send(get);
+    const std::string answer = caller.read_to_end();
+    CHECK(contains(answer, "Content-Length: 100"));
+    CHECK(answer.size() < 150);
+}
+
+TEST(http_path, an_answer_without_framing_is_not_passed_on)
+{
+    fake_upstream upstream{[](script_connection& connection, int) {
+        connection.read_request();
+        connection.send("HTTP/1.1 200 OK\r\n\r\nperhaps all");
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send(commit);
+    CHECK(contains(caller.read_answer(), " 502 "));
+}
+
+TEST(http_path, a_commit_on_a_connection_that_breaks_is_unknown_and_sent_once)
+{
+    std::atomic<int> commits = 0;
+    fake_upstream upstream{[&](script_connection& connection, int) {
+        if (!connection.read_request().empty()) {
+            ++commits;
+        }
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send(commit);
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "Savoryscale-Outcome: unknown"));
+    LONGS_EQUAL(1, commits);
+}
+
+TEST(http_path, a_commit_that_was_shed_is_tried_elsewhere)
+{
+    fake_upstream shedding{[](script_connection& connection, int) {
+        connection.read_request();
+        connection.send("HTTP/1.1 503 No\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n");
+    }};
+    fake_upstream working{echo};
+    running_front host{one_service({shedding.port(), working.port()})};
+    int refused = 0;
+    for (int i = 0; i < 12; ++i) {
+        test_client caller{host.port()};
+        caller.send(commit);
+        const std::string answer = caller.read_answer();
+        const bool not_run = contains(answer, "Savoryscale-Outcome: not-run");
+        CHECK(not_run || contains(answer, "200 OK"));
+        refused += not_run ? 1 : 0;
+    }
+    CHECK(refused <= 1); // until the first calls have saved up a retry
+}
+
+TEST(http_path, a_plain_503_is_passed_on_and_is_no_proof)
+{
+    std::atomic<int> commits = 0;
+    fake_upstream upstream{[&](script_connection& connection, int) {
+        if (!connection.read_request().empty()) {
+            ++commits;
+        }
+        connection.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send(commit);
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "503 No"));
+    CHECK(!contains(answer, "not-run"));
+    LONGS_EQUAL(1, commits);
+}
+
+TEST(http_path, without_a_target_that_accepts_it_was_not_run)
+{
+    fake_upstream upstream{echo};
+    upstream.stop_accepting();
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send(commit);
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, " 503 "));
+    CHECK(contains(answer, "Savoryscale-Outcome: not-run"));
+}
+
+TEST(http_path, the_deadline_answers_for_a_silent_target)
+{
+    fake_upstream upstream{[](script_connection& connection, int) { connection.wait_for_close(); }};
+    running_front host{one_service({upstream.port()})};
+    test_client caller{host.port()};
+    caller.send("POST /lot HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 30\r\nContent-Length: 0\r\n\r\n");
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, " 504 "));
+    CHECK(contains(answer, "Savoryscale-Outcome: unknown"));
+}
+
+TEST(http_path, a_graceful_stop_finishes_what_is_in_progress)
+{
+    std::promise<void> arrived;
+    std::promise<void> go_on;
+    fake_upstream upstream{[&](script_connection& connection, int) {
+        if (connection.read_request().empty()) {
+            return; // opened ahead of need
+        }
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+        arrived.set_value();
+        go_on.get_future().wait();
+        connection.send("half");
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client busy{host.port()};
+    test_client idle{host.port()};
+    busy.send(get);
+    arrived.get_future().wait();
+    host.run([](http::front& task) { task.begin_stop(); });
+    const std::string ended = idle.read_to_end();
+    CHECK(contains(ended, " 408 "));
+    CHECK(contains(ended, "Savoryscale-Outcome: not-run"));
+    const bool stopped_early = host.stopped();
+    go_on.set_value();
+    CHECK(contains(busy.read_to_end(), "halfhalf"));
+    CHECK(!stopped_early);
+}
--- /dev/null
+++ b/tests/message_reader_test.cpp
@@ -0,0 +1,82 @@
+#include "http/message_reader.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace savoryscale::http;
+
+namespace {
+
+constexpr std::uint32_t header_limit = 1024;
+
+// Feeds the text in pieces of `step` bytes.
+template<class Head>
+std::string read_in_steps(message_reader<Head>& reader, std::string_view text, std::size_t step)
+{
+    std::string body;
+    while (!text.empty()) {
+        const auto fed = reader.feed(text.substr(0, step), body);
+        CHECK_TEXT(fed.has_value(), fed ? "" : fed.error().what_.c_str());
+        text.remove_prefix(std::min(step, text.size()));
+    }
+    return body;
+}
+
+} // namespace
+
+TEST_GROUP(message_reader){};
+
+TEST(message_reader, reads_the_same_message_in_pieces_of_any_size)
+{
+    const std::string_view text = "HTTP/1.1 200 OK\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: u\r\n\r\n";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+        message_reader<answer_head> reader{header_limit};
+        const std::string body = read_in_steps(reader, text, step);
+        STRCMP_EQUAL("abcde", body.c_str());
+        CHECK(reader.complete());
+        CHECK(reader.head().chunked_);
+        LONGS_EQUAL(2, reader.head().fields_.size());
+        LONGS_EQUAL(0, reader.pending_bytes());
+    }
+}
+
+TEST(message_reader, keeps_what_follows_the_message)
+{
+    message_reader<request_head> reader{header_limit};
+    std::string body;
+    const auto first = reader.feed("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nokGET /b HTTP/1.1\r\n\r\n", body);
+    CHECK_TEXT(first.has_value(), first ? "" : first.error().what_.c_str());
+
+    STRCMP_EQUAL("ok", body.c_str());
+    CHECK(reader.complete());
+    reader.next();
+    CHECK(reader.feed("", body).has_value());
+    STRCMP_EQUAL("/b", reader.head().target_.c_str());
+    CHECK(reader.complete());
+}
+
+TEST(message_reader, an_answer_to_head_has_no_body)
+{
+    message_reader<answer_head> reader{header_limit};
+    reader.next(true);
+    read_in_steps(reader, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", 7);
+    CHECK(reader.complete());
+    LONGS_EQUAL(9, *reader.head().content_length_);
+}
+
+TEST(message_reader, tells_that_an_end_cannot_be_verified)
+{
+    message_reader<answer_head> reader{header_limit};
+    read_in_steps(reader, "HTTP/1.1 200 OK\r\n\r\nabc", 100);
+    CHECK(reader.ends_with_connection());
+    CHECK(!reader.complete());
+}
+
+TEST(message_reader, bounds_the_header)
+{
+    message_reader<request_head> reader{header_limit};
+    std::string body;
+    const auto fed = reader.feed("GET / HTTP/1.1\r\nA: " + std::string(header_limit, 'x'), body);
+    CHECK(!fed.has_value());
+    CHECK(fed.error().kind_ == savoryscale::error_kind::exhausted);
+}
--- /dev/null
+++ b/tests/support/fake_upstream.cpp
@@ -0,0 +1,198 @@
+#include "support/fake_upstream.hpp"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+namespace savoryscale::testing {
+
+namespace {
+
+// Appends what arrives; false at the end of the stream.
+bool read_more(int descriptor, std::string& pending)
+{
+    std::array<char, 65536> buffer{};
+    const auto length = ::recv(descriptor, buffer.data(), buffer.size(), 0);
+    if (length <= 0) {
+        return false;
+    }
+    pending.append(buffer.data(), static_cast<std::size_t>(length));
+    return true;
+}
+
+void send_all(int descriptor, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const auto sent = ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent <= 0) {
+            return;
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+}
+
+// Bytes of the first whole message in `text`; npos while it is not whole.
+std::size_t message_length(std::string_view text)
+{
+    const auto head = text.find("\r\n\r\n");
+    if (head == std::string_view::npos) {
+        return std::string_view::npos;
+    }
+    const std::size_t body = head + 4;
+    const std::string_view fields = text.substr(0, body);
+    if (const auto at = fields.find("Content-Length: "); at != std::string_view::npos) {
+        const auto length = std::stoul(std::string{fields.substr(at + 16)});
+        return text.size() >= body + length ? body + length : std::string_view::npos;
+    }
+    if (fields.find("Transfer-Encoding: chunked") != std::string_view::npos) {
+        const auto last = text.find("0\r\n\r\n", body);
+        return last == std::string_view::npos ? last : last + 5;
+    }
+    return body;
+}
+
+std::string read_message(int descriptor, std::string& pending)
+{
+    while (message_length(pending) == std::string_view::npos) {
+        if (!read_more(descriptor, pending)) {
+            return std::exchange(pending, {});
+        }
+    }
+    const std::size_t length = message_length(pending);
+    std::string message = pending.substr(0, length);
+    pending.erase(0, length);
+    return message;
+}
+
+sockaddr_in loopback(std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    return address;
+}
+
+} // namespace
+
+std::string script_connection::read_request()
+{
+    return read_message(descriptor_, pending_);
+}
+
+void script_connection::send(std::string_view bytes)
+{
+    send_all(descriptor_, bytes);
+}
+
+void script_connection::close()
+{
+    ::shutdown(descriptor_, SHUT_RDWR);
+}
+
+void script_connection::wait_for_close()
+{
+    while (read_more(descriptor_, pending_)) {
+    }
+}
+
+fake_upstream::fake_upstream(script run) : run_{std::move(run)}
+{
+    listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = loopback(0);
+    socklen_t length = sizeof address;
+    if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), length) != 0 ||
+        ::listen(listener_, 64) != 0) {
+        throw std::runtime_error{"fake upstream cannot listen"};
+    }
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+    port_ = ntohs(address.sin_port);
+    acceptor_ = std::thread{[this] { accept_all(); }};
+}
+
+fake_upstream::~fake_upstream()
+{
+    stop_accepting();
+    {
+        const std::lock_guard lock{mutex_};
+        for (const int descriptor : descriptors_) {
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+    for (std::thread& worker : workers_) {
+        worker.join();
+    }
+    for (const int descriptor : descriptors_) {
+        ::close(descriptor);
+    }
+}
+
+void fake_upstream::stop_accepting()
+{
+    if (acceptor_.joinable()) {
+        ::shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        ::close(listener_);
+    }
+}
+
+void fake_upstream::accept_all()
+{
+    while (true) {
+        const int descriptor = ::accept(listener_, nullptr, nullptr);
+        if (descriptor < 0) {
+            return;
+        }
+        const std::lock_guard lock{mutex_};
+        descriptors_.push_back(descriptor);
+        workers_.emplace_back([this, descriptor, number = count_++] {
+            script_connection connection{descriptor};
+            run_(connection, number);
+            connection.close();
+        });
+    }
+}
+
+test_client::test_client(std::uint16_t port) : descriptor_{::socket(AF_INET, SOCK_STREAM, 0)}
+{
+    const sockaddr_in address = loopback(port);
+    if (::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        throw std::runtime_error{"cannot connect"};
+    }
+}
+
+test_client::~test_client()
+{
+    ::close(descriptor_);
+}
+
+void test_client::send(std::string_view bytes)
+{
+    send_all(descriptor_, bytes);
+}
+
+std::string test_client::read_answer()
+{
+    return read_message(descriptor_, pending_);
+}
+
+std::string test_client::read_to_end()
+{
+    while (read_more(descriptor_, pending_)) {
+    }
+    return std::exchange(pending_, {});
+}
+
+std::string ok_answer(std::string_view body, std::string_view fields)
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{}\r\n{}", body.size(), fields,
+                       body);
+}
+
+} // namespace savoryscale::testing
--- /dev/null
+++ b/tests/support/fake_upstream.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+// An upstream that follows a script, byte by byte, over real sockets on loopback.
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace savoryscale::testing {
+
+// One accepted connection, blocking.
+class script_connection {
+public:
+    explicit script_connection(int descriptor) : descriptor_{descriptor} {}
+
+    // The next whole request, head and body; empty when the other side closed.
+    std::string read_request();
+    void send(std::string_view bytes);
+    // Closes the connection. Later calls do nothing.
+    void close();
+    // Waits until the other side closes.
+    void wait_for_close();
+
+private:
+    int descriptor_;
+    std::string pending_;
+};
+
+// Runs `script` on a thread of its own for each connection; `number` counts connections from 0.
+class fake_upstream {
+public:
+    using script = std::function<void(script_connection& connection, int number)>;
+
+    explicit fake_upstream(script run);
+    ~fake_upstream();
+    fake_upstream(const fake_upstream&) = delete;
+    fake_upstream& operator=(const fake_upstream&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+    [[nodiscard]] int connections() const { return count_; }
+
+    // Refuses connections from now on.
+    void stop_accepting();
+
+private:
+    void accept_all();
+
+    script run_;
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::atomic<int> count_ = 0;
+    std::mutex mutex_;
+    std::vector<int> descriptors_;
+    std::vector<std::thread> workers_;
+    std::thread acceptor_;
+};
+
+// A blocking client connection to loopback.
+class test_client {
+public:
+    explicit test_client(std::uint16_t port);
+    ~test_client();
+    test_client(const test_client&) = delete;
+    test_client& operator=(const test_client&) = delete;
+
+    void send(std::string_view bytes);
+    // One whole answer, head and body as framed. What came before a close when it breaks off.
+    std::string read_answer();
+    // Everything until the other side closes.
+    std::string read_to_end();
+
+private:
+    int descriptor_;
+    std::string pending_;
+};
+
+// "HTTP/1.1 200 OK" with the body and extra header lines ("Name: value\r\n" each).
+std::string ok_answer(std::string_view body, std::string_view fields = {});
+
+} // namespace savoryscale::testing
--- /dev/null
+++ b/tests/support/running_front.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+// An HTTP task on a thread of its own, for tests over real sockets.
+
+#include "http/event_loop.hpp"
+#include "http/front.hpp"
+#include "settings/settings.hpp"
+#include "telemetry/metrics.hpp"
+
+#include <prometheus/registry.h>
+
+#include <atomic>
+#include <cstdint>
+#include <future>
+#include <memory>
+#include <thread>
+
+namespace savoryscale::testing {
+
+// Settings of one service "lots" under "/" with the given targets on loopback.
+inline settings::settings one_service(std::initializer_list<std::uint16_t> target_ports)
+{
+    settings::settings config;
+    config.host_ = {"host-1", "mobile", "gulf-south", 1};
+    config.listen_.address_ = {"127.0.0.1", 0};
+    config.listen_.stop_lag_ = std::chrono::milliseconds{20};
+    settings::service service;
+    service.name_ = "lots";
+    service.path_prefix_ = "/";
+    service.connections_per_target_ = 8;
+    service.not_run_header_ = "X-Shed";
+    service.retry_ratio_ = 1;
+    for (const std::uint16_t port : target_ports) {
+        service.targets_.push_back({{"127.0.0.1", port}, "mobile"});
+    }
+    config.services_.push_back(service);
+    return config;
+}
+
+class running_front {
+public:
+    explicit running_front(settings::settings config) : config_{std::move(config)}
+    {
+        loop_ = std::move(http::event_loop::make(256)).value();
+        http::front_events events;
+        events.on_stopped_ = [this] {
+            stopped_ = true;
+            loop_->stop();
+        };
+        front_ = std::make_unique<http::front>(*loop_, config_, metrics_, 1, std::move(events));
+        port_ = front_->open().value();
+        thread_ = std::thread{[this] { loop_->run([this] { front_->run_posted(); }); }};
+    }
+
+    ~running_front()
+    {
+        loop_->stop();
+        thread_.join();
+        front_.reset();
+    }
+
+    running_front(const running_front&) = delete;
+    running_front& operator=(const running_front&) = delete;
+
+    // Runs `action` on the task's thread and waits for it.
+    void run(std::function<void(http::front&)> action)
+    {
+        std::promise<void> done;
+        front_->post([&](http::front& task) {
+            action(task);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+    [[nodiscard]] bool stopped() const { return stopped_; }
+    http::front& front() { return *front_; }
+
+private:
+    settings::settings config_;
+    prometheus::Registry registry_;
+    telemetry::metrics metrics_ = telemetry::register_metrics(registry_);
+    std::unique_ptr<http::event_loop> loop_;
+    std::unique_ptr<http::front> front_;
+    std::atomic<bool> stopped_ = false;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+} // namespace savoryscale::testing
