--- a/tests/message_reader_test.cpp
+++ b/tests/message_reader_test.cpp
@@ -44,7 +44,8 @@
 {
     message_reader<request_head> reader{header_limit};
     std::string body;
-    const auto first = reader.feed("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nokGET /b HTTP/1.1\r\n\r\n", body);
+    const auto first =
+        reader.feed("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nokGET /b HTTP/1.1\r\n\r\n", body);
     CHECK_TEXT(first.has_value(), first ? "" : first.error().what_.c_str());
 
     STRCMP_EQUAL("ok", body.c_str());
