Declare what is not copied or moved, and find services by name in one place

Cause: the linter refused classes that left it open, and a use after a move that only one service of a name kept harmless. Change: deleted moves; service_named. Result: lint clean.

--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -23,6 +23,8 @@
     ~caller_connection();
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
+    caller_connection(caller_connection&&) = delete;
+    caller_connection& operator=(caller_connection&&) = delete;
 
     // The answer to the present request, in pieces. `close` ends the connection after it.
     void begin_answer(const answer_head& head);
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -34,6 +34,8 @@
     ~connection_pool();
     connection_pool(const connection_pool&) = delete;
     connection_pool& operator=(const connection_pool&) = delete;
+    connection_pool(connection_pool&&) = delete;
+    connection_pool& operator=(connection_pool&&) = delete;
 
     // Gives the exchange a connection, idle or new. With `proven`, an idle one must have proved
     // itself lately. None when every connection is in use and the cap is reached.
--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -37,6 +37,8 @@
     ~event_loop();
     event_loop(const event_loop&) = delete;
     event_loop& operator=(const event_loop&) = delete;
+    event_loop(event_loop&&) = delete;
+    event_loop& operator=(event_loop&&) = delete;
 
     // Listens on the address; port 0 picks a free one. Returns the port in use.
     result<std::uint16_t> listen(const settings::endpoint& address,
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -91,13 +91,19 @@
     admission::set_lists(admission_, lists, loop_.now());
 }
 
+service_state* front::service_named(std::string_view name)
+{
+    const auto found = std::find_if(services_.begin(), services_.end(), [&](const auto& service) {
+        return service->config_->name_ == name;
+    });
+    return found == services_.end() ? nullptr : found->get();
+}
+
 void front::set_targets(std::string_view service, std::vector<routing::target_info> targets)
 {
-    for (auto& state : services_) {
-        if (state->config_->name_ == service) {
-            state->listed_ = std::move(targets);
-            apply_targets(*state);
-        }
+    if (service_state* state = service_named(service); state != nullptr) {
+        state->listed_ = std::move(targets);
+        apply_targets(*state);
     }
 }
 
@@ -132,10 +138,8 @@
 
 void front::set_probe_share(std::string_view service, double probes_per_second)
 {
-    for (auto& state : services_) {
-        if (state->config_->name_ == service) {
-            routing::set_probe_share(state->view_, probes_per_second);
-        }
+    if (service_state* state = service_named(service); state != nullptr) {
+        routing::set_probe_share(state->view_, probes_per_second);
     }
 }
 
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -45,6 +45,8 @@
     ~front();
     front(const front&) = delete;
     front& operator=(const front&) = delete;
+    front(front&&) = delete;
+    front& operator=(front&&) = delete;
 
     // Starts to listen; returns the port in use.
     result<std::uint16_t> open();
@@ -92,6 +94,7 @@
 
 private:
     target_connections& connections_of(service_state& service, routing::target_index target);
+    service_state* service_named(std::string_view name);
     void apply_targets(service_state& service);
     void crash_checked(service_state& service, routing::target_index target, bool accepts);
     void tell_suspicion(admission::fingerprint request);
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -25,6 +25,8 @@
 public:
     explicit message_reader(std::uint32_t max_header_bytes);
     ~message_reader();
+    message_reader(const message_reader&) = delete;
+    message_reader& operator=(const message_reader&) = delete;
     message_reader(message_reader&&) noexcept;
     message_reader& operator=(message_reader&&) noexcept;
 
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -62,6 +62,8 @@
     ~proxied_call();
     proxied_call(const proxied_call&) = delete;
     proxied_call& operator=(const proxied_call&) = delete;
+    proxied_call(proxied_call&&) = delete;
+    proxied_call& operator=(proxied_call&&) = delete;
 
     // Admits or refuses the call.
     void start();
--- a/src/http/socket.hpp
+++ b/src/http/socket.hpp
@@ -25,7 +25,13 @@
     virtual void on_drained() {} // the output queue fell to empty
     virtual void on_closed() = 0;
 
+    socket_handler(const socket_handler&) = delete;
+    socket_handler& operator=(const socket_handler&) = delete;
+    socket_handler(socket_handler&&) = delete;
+    socket_handler& operator=(socket_handler&&) = delete;
+
 protected:
+    socket_handler() = default;
     ~socket_handler() = default;
 };
 
@@ -37,6 +43,8 @@
     ~socket();
     socket(const socket&) = delete;
     socket& operator=(const socket&) = delete;
+    socket(socket&&) = delete;
+    socket& operator=(socket&&) = delete;
 
     // Who hears of events from now on.
     void set_handler(socket_handler* handler) { handler_ = handler; }
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -23,6 +23,8 @@
     ~upstream_connection();
     upstream_connection(const upstream_connection&) = delete;
     upstream_connection& operator=(const upstream_connection&) = delete;
+    upstream_connection(upstream_connection&&) = delete;
+    upstream_connection& operator=(upstream_connection&&) = delete;
 
     // Takes ownership of the stream's events. Called once by the pool.
     void attach(socket* stream) { stream_ = stream; }
--- a/src/http/upstream_exchange.hpp
+++ b/src/http/upstream_exchange.hpp
@@ -30,7 +30,13 @@
     virtual void on_failed(exchange_failure failure) = 0;
     virtual void on_drained() {} // what was written has been taken by the kernel
 
+    upstream_exchange(const upstream_exchange&) = delete;
+    upstream_exchange& operator=(const upstream_exchange&) = delete;
+    upstream_exchange(upstream_exchange&&) = delete;
+    upstream_exchange& operator=(upstream_exchange&&) = delete;
+
 protected:
+    upstream_exchange() = default;
     ~upstream_exchange() = default;
 };
 
