Add pull, apply and status

Cause: operators drive the system by two lists and by watching whether it holds them. Change: cli/lists_commands over any platform client, cli/lists_main with flags and settings.

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -3,6 +3,7 @@
 #include "base/version.hpp"
 #include "cli/arguments.hpp"
 #include "cli/check.hpp"
+#include "cli/lists_main.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -46,6 +47,27 @@
          1,
          any_number,
          check},
+        {"pull",
+         "--settings=FILE --out=FILE",
+         "fetches the two lists, with the base they were read at",
+         {"settings", "out"},
+         0,
+         0,
+         run_pull},
+        {"apply",
+         "--settings=FILE [--dry-run] FILE",
+         "applies an edited file of the two lists",
+         {"settings", "dry_run"},
+         1,
+         1,
+         run_apply},
+        {"status",
+         "--settings=FILE [--wait=SECONDS] [--json]",
+         "tells whether every host holds the lists",
+         {"settings", "wait", "json"},
+         0,
+         0,
+         run_status},
         {"version", "", "prints the release", {}, 0, 0, run_version},
         {"help", "[COMMAND]", "explains the commands", {}, 0, 1, run_help},
     };
--- /dev/null
+++ b/src/cli/lists_commands.cpp
@@ -0,0 +1,230 @@
+#include "cli/lists_commands.hpp"
+
+#include "cli/command.hpp"
+#include "plans/applier.hpp"
+#include "plans/configuration.hpp"
+#include "platform/blocking_call.hpp"
+#include "platform/status_view.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace savoryscale::cli {
+
+namespace {
+
+using platform::call_status;
+using platform::object_call;
+using platform::operation;
+
+// Reads of the platform before a command gives up, and the pause between them.
+constexpr int max_reads = 5;
+constexpr std::chrono::milliseconds read_pause{300};
+
+// How often a waiting status asks again.
+constexpr std::chrono::milliseconds status_pause{1000};
+
+bool is_answer(call_status status)
+{
+    return status == call_status::ok || status == call_status::not_found;
+}
+
+void print_faults(const std::vector<error>& faults, std::ostream& err)
+{
+    for (const error& each : faults) {
+        err << to_string(each) << '\n';
+    }
+}
+
+platform::object_reply read(platform_access& access, operation operation, std::string_view key)
+{
+    platform::object_reply reply;
+    for (int i = 0; i < max_reads; ++i) {
+        reply = call_and_wait(access.objects_,
+                              {operation, std::string{key}, {}, 0, access.call_timeout_, {}});
+        if (is_answer(reply.status_)) {
+            break;
+        }
+        access.sleep_(read_pause);
+    }
+    return reply;
+}
+
+// The stored lists; version 0 when none were applied.
+checked<plans::configuration> read_lists(platform_access& access)
+{
+    const auto reply = read(access, operation::get, plans::configuration_key);
+    if (!is_answer(reply.status_)) {
+        return tl::unexpected{
+            std::vector<error>{{error_kind::unavailable, "object API", "does not answer",
+                                "run the command again later"}}};
+    }
+    if (reply.objects_.empty()) {
+        return plans::configuration{};
+    }
+    return plans::parse_configuration(reply.objects_.front().value_, plans::configuration_key);
+}
+
+object_call to_call(const plans::applier_step& step, duration timeout)
+{
+    operation kind = operation::get;
+    if (step.action_ == plans::applier_action::create) {
+        kind = operation::create;
+    }
+    else if (step.action_ == plans::applier_action::update) {
+        kind = operation::update;
+    }
+    return {kind,       std::string{plans::configuration_key},
+            step.text_, step.expected_version_,
+            timeout,    {}};
+}
+
+int print_report(const plans::apply_report& report, bool dry_run, std::ostream& out,
+                 std::ostream& err)
+{
+    print_faults(report.faults_, err);
+    switch (report.end_) {
+    case plans::apply_end::applied:
+        out << fmt::format("applied{}: version {}, {} entries changed\n",
+                           dry_run ? " (dry run, nothing written)" : "", report.version_,
+                           report.entries_);
+        return exit_ok;
+    case plans::apply_end::already_in_force:
+        out << fmt::format("already in force: version {}\n", report.version_);
+        return exit_ok;
+    case plans::apply_end::refused_stale:
+        out << fmt::format("refused: stale, against version {}\n", report.version_);
+        return exit_refused;
+    case plans::apply_end::refused_conflict:
+        out << fmt::format("refused: conflict, against version {}\n", report.version_);
+        return exit_refused;
+    case plans::apply_end::refused_invalid:
+        out << "refused: invalid\n";
+        return exit_invalid;
+    case plans::apply_end::unknown:
+        break;
+    }
+    out << fmt::format("unknown: {}; {}\n", report.faults_.front().what_,
+                       report.faults_.front().remedy_);
+    return exit_unknown;
+}
+
+// The view of the moment; nothing when the platform does not answer, or its lists do not parse.
+std::optional<platform::status_view> read_status(platform_access& access, std::ostream& err)
+{
+    const auto stored = read_lists(access);
+    if (!stored) {
+        print_faults(stored.error(), err);
+        return std::nullopt;
+    }
+    const auto records = read(access, operation::list, platform::status_prefix);
+    const auto hosts = fetch_and_wait(access.hosts_, access.call_timeout_);
+    if (!is_answer(records.status_) || hosts.status_ != call_status::ok) {
+        err << fmt::format("{}: does not answer; run the command again later\n",
+                           is_answer(records.status_) ? "host list" : "object API");
+        return std::nullopt;
+    }
+    std::vector<platform::status_record> parsed;
+    for (const platform::object& each : records.objects_) {
+        if (auto record = platform::parse_status_record(each.value_)) {
+            parsed.push_back(std::move(*record));
+        }
+        else {
+            err << fmt::format("{}: {}\n", each.key_, to_string(record.error()));
+        }
+    }
+    return judge_status(stored->lists_.version_, hosts.hosts_, parsed, access.now_ms_());
+}
+
+std::string print_json(const platform::status_view& view)
+{
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const platform::host_standing& each : view.hosts_) {
+        hosts.push_back({{"id", each.id_},
+                         {"data_centre", each.data_centre_},
+                         {"held_version", each.held_version_},
+                         {"behind_reason", each.behind_reason_}});
+    }
+    const nlohmann::json root{{"accepted_version", view.accepted_version_},
+                              {"all_hold", view.all_hold_},
+                              {"hosts", std::move(hosts)}};
+    return root.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+std::string print_text(const platform::status_view& view)
+{
+    std::string text = view.accepted_version_ == 0
+                           ? "no lists were applied yet\n"
+                           : fmt::format("accepted version {}\n", view.accepted_version_);
+    if (view.hosts_.empty()) {
+        text += "no entry host is known; look at the host list\n";
+    }
+    for (std::size_t i = 0; i < view.hosts_.size();) {
+        const std::string& data_centre = view.hosts_[i].data_centre_;
+        std::size_t holding = 0;
+        std::string behind;
+        std::size_t end = i;
+        for (; end < view.hosts_.size() && view.hosts_[end].data_centre_ == data_centre; ++end) {
+            const platform::host_standing& host = view.hosts_[end];
+            holding += host.behind_reason_.empty() ? 1U : 0U;
+            if (!host.behind_reason_.empty()) {
+                behind += fmt::format("    {} is at version {}: {}\n", host.id_, host.held_version_,
+                                      host.behind_reason_);
+            }
+        }
+        text +=
+            fmt::format("{}: {} of {} hosts hold it\n{}", data_centre, holding, end - i, behind);
+        i = end;
+    }
+    return text + (view.all_hold_ ? "held by all hosts\n" : "not held by all hosts\n");
+}
+
+} // namespace
+
+int pull_lists(platform_access& access, std::ostream& out, std::ostream& err)
+{
+    const auto stored = read_lists(access);
+    if (!stored) {
+        print_faults(stored.error(), err);
+        return exit_unknown;
+    }
+    out << plans::print_edited_file(*stored);
+    return exit_ok;
+}
+
+int apply_lists(platform_access& access, plans::edited_file file, bool dry_run, std::ostream& out,
+                std::ostream& err)
+{
+    plans::applier_options options;
+    options.dry_run_ = dry_run;
+    plans::applier state = plans::make_applier(std::move(file), options);
+    plans::applier_step step = plans::first_step(state);
+    while (step.action_ != plans::applier_action::done) {
+        access.sleep_(step.wait_);
+        const auto reply = call_and_wait(access.objects_, to_call(step, access.call_timeout_));
+        step = on_reply(state, reply, access.now_ms_(), access.random_);
+    }
+    return print_report(step.report_, dry_run, out, err);
+}
+
+int show_status(platform_access& access, duration wait, bool as_json, std::ostream& out,
+                std::ostream& err)
+{
+    auto view = read_status(access, err);
+    for (duration waited{}; waited < wait && !(view && view->all_hold_); waited += status_pause) {
+        access.sleep_(status_pause);
+        view = read_status(access, err);
+    }
+    if (!view) {
+        return exit_unknown;
+    }
+    out << (as_json ? print_json(*view) : print_text(*view));
+    return view->all_hold_ ? exit_ok : exit_failure;
+}
+
+} // namespace savoryscale::cli
--- /dev/null
+++ b/src/cli/lists_main.cpp
@@ -0,0 +1,152 @@
+#include "cli/lists_main.hpp"
+
+#include "base/file.hpp"
+#include "cli/command.hpp"
+#include "cli/lists_commands.hpp"
+#include "platform/http_host_list_client.hpp"
+#include "platform/http_object_client.hpp"
+#include "settings/parse.hpp"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <fstream>
+#include <functional>
+#include <optional>
+#include <ostream>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+DEFINE_string(settings, "", "file of the settings");
+DEFINE_string(out, "", "file to write the lists to");
+DEFINE_bool(dry_run, false, "decide and say what would happen, but write nothing");
+DEFINE_int32(wait, 0, "seconds to wait until all hosts hold the lists");
+DEFINE_bool(json, false, "print JSON");
+
+namespace savoryscale::cli {
+
+namespace {
+
+using platform_command = std::function<int(platform_access&)>;
+
+void print_faults(const std::vector<error>& faults, std::ostream& err)
+{
+    for (const error& each : faults) {
+        err << to_string(each) << '\n';
+    }
+}
+
+std::int64_t wall_clock_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+// The settings that --settings names, with a platform in them.
+std::optional<settings::settings> load_settings(std::ostream& err)
+{
+    if (FLAGS_settings.empty()) {
+        err << "--settings: is missing; name the file of the settings\n";
+        return std::nullopt;
+    }
+    auto loaded = settings::load(FLAGS_settings);
+    if (!loaded) {
+        print_faults(loaded.error(), err);
+        return std::nullopt;
+    }
+    if (loaded->platform_.object_api_.empty() || loaded->platform_.host_list_.empty()) {
+        err << FLAGS_settings << "#/platform: names no object API or no host list; add both\n";
+        return std::nullopt;
+    }
+    return std::move(*loaded);
+}
+
+int with_platform(const settings::settings& given, const platform_command& command)
+{
+    std::random_device entropy;
+    platform::call_gate_options gate;
+    gate.calls_per_second_ = given.platform_.calls_per_second_;
+    platform::http_object_client objects{given.platform_.object_api_, gate, entropy()};
+    platform::http_host_list_client hosts{given.platform_.host_list_};
+    platform_access access{objects,
+                           hosts,
+                           given.platform_.call_timeout_,
+                           random_source{entropy()},
+                           [](duration time) { std::this_thread::sleep_for(time); },
+                           wall_clock_ms};
+    return command(access);
+}
+
+std::vector<std::string> service_names(const settings::settings& given)
+{
+    std::vector<std::string> names;
+    for (const settings::service& each : given.services_) {
+        names.push_back(each.name_);
+    }
+    return names;
+}
+
+} // namespace
+
+int run_pull(std::span<const std::string> /*operands*/, std::ostream& out, std::ostream& err)
+{
+    const auto given = load_settings(err);
+    if (!given || FLAGS_out.empty()) {
+        if (given) {
+            err << "--out: is missing; name the file to write the lists to\n";
+        }
+        return exit_invalid;
+    }
+    std::ostringstream text;
+    const int code = with_platform(
+        *given, [&](platform_access& access) { return pull_lists(access, text, err); });
+    if (code != exit_ok) {
+        return code;
+    }
+    std::ofstream file{FLAGS_out, std::ios::binary | std::ios::trunc};
+    if (!(file << text.str()).flush()) {
+        err << FLAGS_out << ": cannot be written; name a file in a folder you may write to\n";
+        return exit_failure;
+    }
+    out << "pulled to " << FLAGS_out << '\n';
+    return exit_ok;
+}
+
+int run_apply(std::span<const std::string> operands, std::ostream& out, std::ostream& err)
+{
+    const auto given = load_settings(err);
+    if (!given) {
+        return exit_invalid;
+    }
+    const std::string& name = operands.front();
+    const auto text = read_file(name);
+    if (!text) {
+        err << name << ": cannot be read; name the file that was pulled and edited\n";
+        out << "refused: invalid\n";
+        return exit_invalid;
+    }
+    auto file = plans::parse_edited_file(*text, name, service_names(*given));
+    if (!file) {
+        print_faults(file.error(), err);
+        out << "refused: invalid\n";
+        return exit_invalid;
+    }
+    return with_platform(*given, [&](platform_access& access) {
+        return apply_lists(access, std::move(*file), FLAGS_dry_run, out, err);
+    });
+}
+
+int run_status(std::span<const std::string> /*operands*/, std::ostream& out, std::ostream& err)
+{
+    const auto given = load_settings(err);
+    if (!given) {
+        return exit_invalid;
+    }
+    return with_platform(*given, [&](platform_access& access) {
+        return show_status(access, std::chrono::seconds{FLAGS_wait}, FLAGS_json, out, err);
+    });
+}
+
+} // namespace savoryscale::cli
--- /dev/null
+++ b/src/cli/lists_main.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+// Binds pull, apply and status to their flags, the settings file and the real platform.
+
+#include <iosfwd>
+#include <span>
+#include <string>
+
+namespace savoryscale::cli {
+
+// Flags: settings, out.
+int run_pull(std::span<const std::string> operands, std::ostream& out, std::ostream& err);
+
+// Flags: settings, dry_run. One operand: the file.
+int run_apply(std::span<const std::string> operands, std::ostream& out, std::ostream& err);
+
+// Flags: settings, wait, json.
+int run_status(std::span<const std::string> operands, std::ostream& out, std::ostream& err);
+
+} // namespace savoryscale::cli
