Probe targets, claim idempotency keys and record spans in the HTTP task

Cause: the decisions for probes, claims and traces existed without a task that carries them out. Change: probe_exchange on the targets' own pools, a probe counted at its largest size so that one count holds the budgets by number and by bytes; claims before a request that may not be repeated is sent, given back when nothing ran; spans for the call, admission, choice, each attempt and answer.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -1,8 +1,11 @@
 #include "http/front.hpp"
 
 #include "http/caller_connection.hpp"
+#include "http/probe_exchange.hpp"
+#include "http/proxied_call.hpp"
 #include "http/socket.hpp"
 #include "telemetry/log.hpp"
+#include "telemetry/span_queue.hpp"
 
 #include <fmt/format.h>
 
@@ -18,6 +21,7 @@
 
 constexpr duration tick_interval = 1s;
 constexpr duration stop_check_interval = 10ms;
+constexpr duration probe_interval = 5ms;
 
 // Callers that were refused without a measured wait are asked to return within this time.
 constexpr duration retry_after_min = 1s;
@@ -43,6 +47,10 @@
             routing::make_view(service, config_.host_.data_centre_, routing::policy::least_wait);
         state->connection_cap_ =
             std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
+        state->probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
+        state->probe_bytes_share_ =
+            1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
+        apply_probe_share(*state);
         services_.push_back(std::move(state));
     }
     std::sort(services_.begin(), services_.end(), [](const auto& left, const auto& right) {
@@ -56,12 +64,14 @@
 front::~front()
 {
     callers_.clear();
+    probes_.clear();
     loop_.clear_timers();
 }
 
 result<std::uint16_t> front::open()
 {
     loop_.after(tick_interval, [this] { tick(); });
+    loop_.after(probe_interval, [this] { probe_targets(); });
     return loop_.listen(config_.listen_.address_, config_.listen_.tls_,
                         [this](socket& stream) -> socket_handler* {
                             if (callers_.size() >= config_.listen_.max_connections_) {
@@ -139,7 +149,85 @@
 void front::set_probe_share(std::string_view service, double probes_per_second)
 {
     if (service_state* state = service_named(service); state != nullptr) {
-        routing::set_probe_share(state->view_, probes_per_second);
+        state->probes_share_ = probes_per_second;
+        apply_probe_share(*state);
+    }
+}
+
+void front::set_probe_bytes_share(std::string_view service, double bytes_per_second)
+{
+    if (service_state* state = service_named(service); state != nullptr) {
+        state->probe_bytes_share_ = bytes_per_second;
+        apply_probe_share(*state);
+    }
+}
+
+// A probe takes at most probe_bytes_max, so that one count holds both budgets.
+void front::apply_probe_share(service_state& service)
+{
+    routing::set_probe_share(service.view_, std::min(service.probes_share_,
+                                                     service.probe_bytes_share_ / probe_bytes_max));
+}
+
+// Starts the probes that are due.
+void front::probe_targets()
+{
+    if (!stopping_) {
+        for (auto& service : services_) {
+            while (const auto target = routing::next_probe(service->view_, loop_.now(), random_)) {
+                probe(*service, *target);
+            }
+        }
+    }
+    loop_.after(probe_interval, [this] { probe_targets(); });
+}
+
+void front::probe(service_state& service, routing::target_index target)
+{
+    metrics_.probes_.Increment();
+    auto owned = std::make_unique<probe_exchange>(loop_, service.config_->probe_path_);
+    probe_exchange* started = owned.get();
+    started->on_done([this, &service, target, started](auto load, std::size_t bytes) {
+        metrics_.probe_bytes_.Increment(static_cast<double>(bytes));
+        routing::probe_ended(service.view_, target, load, loop_.now());
+        if (load && load->draining_) {
+            target_is_draining(service, target);
+        }
+        const auto found = probes_.find(started);
+        loop_.retire(std::move(found->second));
+        probes_.erase(found);
+    });
+    probes_.emplace(started, std::move(owned));
+    if (!started->start(pool_of(service, target))) {
+        routing::probe_ended(service.view_, target, std::nullopt, loop_.now());
+        probes_.erase(started);
+    }
+}
+
+std::uint64_t front::submit(platform::object_call call, proxied_call* asker)
+{
+    const std::uint64_t ticket = ++last_ticket_;
+    if (asker != nullptr) {
+        tickets_.emplace(ticket, asker);
+    }
+    call.done_ = [this, ticket](platform::object_reply reply) {
+        post([ticket, answer = std::move(reply)](front& task) {
+            const auto found = task.tickets_.find(ticket);
+            if (found != task.tickets_.end()) {
+                proxied_call* waiting = found->second;
+                task.tickets_.erase(found);
+                waiting->on_claim_reply(answer);
+            }
+        });
+    };
+    events_.on_object_call_(std::move(call));
+    return ticket;
+}
+
+void front::record(telemetry::span finished)
+{
+    if (events_.spans_ != nullptr) {
+        events_.spans_->push(std::move(finished));
     }
 }
 
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -13,6 +13,7 @@
 #include "http/service_state.hpp"
 #include "peer/fact.hpp"
 #include "plans/lists.hpp"
+#include "platform/object_api.hpp"
 #include "routing/target.hpp"
 #include "settings/settings.hpp"
 #include "telemetry/metrics.hpp"
@@ -25,9 +26,16 @@
 #include <unordered_map>
 #include <vector>
 
+namespace savoryscale::telemetry {
+class span_queue;
+struct span;
+} // namespace savoryscale::telemetry
+
 namespace savoryscale::http {
 
 class caller_connection;
+class probe_exchange;
+class proxied_call;
 
 // What the HTTP task tells the others. Called on its thread; each posts to a mailbox.
 struct front_events {
@@ -36,6 +44,9 @@
         on_target_draining_;
     std::function<void(peer::fact)> on_suspicion_;
     std::function<void()> on_stopped_; // the last caller has gone
+    // Starts a call on the object API; its answer is posted back. None: there is no object API.
+    std::function<void(platform::object_call)> on_object_call_;
+    telemetry::span_queue* spans_ = nullptr; // none: spans are not kept
 };
 
 class front {
@@ -61,6 +72,7 @@
     void set_lists(const plans::lists& lists);
     void set_targets(std::string_view service, std::vector<routing::target_info> targets);
     void set_probe_share(std::string_view service, double probes_per_second);
+    void set_probe_bytes_share(std::string_view service, double bytes_per_second);
     void merge_suspicion(const peer::fact& suspicion);
 
     // Stops gracefully: accepts for the balancer's lag, answers with Connection: close, then ends
@@ -88,6 +100,12 @@
     void request_broke(service_state& service, routing::target_index target,
                        admission::fingerprint request);
     void request_ended(admission::fingerprint request, std::string_view target, bool finished);
+    // Submits a call on the object API for a claim. The answer comes to on_claim_reply of whoever
+    // holds the ticket then; a ticket that was dropped hears nothing.
+    std::uint64_t submit(platform::object_call call, proxied_call* asker);
+    void drop_ticket(std::uint64_t ticket) { tickets_.erase(ticket); }
+    [[nodiscard]] bool has_object_api() const { return events_.on_object_call_ != nullptr; }
+    void record(telemetry::span finished);
     void forget(caller_connection& gone);
     void resume_later(caller_connection& caller);
     [[nodiscard]] const telemetry::metrics& metrics() const { return metrics_; }
@@ -99,6 +117,9 @@
     void crash_checked(service_state& service, routing::target_index target, bool accepts);
     void tell_suspicion(admission::fingerprint request);
     void tick();
+    void probe_targets();
+    void probe(service_state& service, routing::target_index target);
+    void apply_probe_share(service_state& service);
     void publish(const pool_counters& counted);
     void end_idle_callers();
     void check_stopped();
@@ -115,6 +136,9 @@
     std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> callers_;
     std::string request_id_prefix_;
     std::uint64_t last_request_ = 0;
+    std::unordered_map<std::uint64_t, proxied_call*> tickets_;
+    std::uint64_t last_ticket_ = 0;
+    std::unordered_map<probe_exchange*, std::unique_ptr<probe_exchange>> probes_;
     bool stopping_ = false;
     bool stop_lag_over_ = false;
 };
--- a/src/http/load_fields.cpp
+++ b/src/http/load_fields.cpp
@@ -1,5 +1,7 @@
 #include "http/load_fields.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <charconv>
 #include <cmath>
 
@@ -30,4 +32,20 @@
     return routing::load_report{in_flight.value_or(0), utilization.value_or(0), draining};
 }
 
+std::optional<routing::load_report> parse_load(std::string_view text)
+{
+    const auto parsed = nlohmann::json::parse(text, nullptr, false);
+    if (!parsed.is_object()) {
+        return std::nullopt;
+    }
+    const auto number = [&](const char* name) {
+        const auto found = parsed.find(name);
+        const bool usable = found != parsed.end() && found->is_number() && *found >= 0;
+        return usable ? found->get<double>() : 0.0;
+    };
+    const auto draining = parsed.find("draining");
+    const bool drains = draining != parsed.end() && draining->is_boolean() && draining->get<bool>();
+    return routing::load_report{number("in_flight"), number("utilization"), drains};
+}
+
 } // namespace savoryscale::http
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -110,7 +110,8 @@
 void attempt_exchange::on_answer_head(const answer_head& head)
 {
     proxied_call& call = *call_;
-    latency_ = call.front_.loop().now() - sent_;
+    answered_ = call.front_.loop().now();
+    latency_ = answered_ - sent_;
     load_ = read_load(head);
     status_ = head.status_;
     if (!answers_request(head, request_id_)) {
@@ -200,6 +201,9 @@
 {
     const time_point now = front_.loop().now();
     started_ = now;
+    trace_ = telemetry::begin_trace(find_field(head_, "traceparent"),
+                                    front_.config().tracing_.sample_ratio_, front_.random(), now,
+                                    telemetry::wall_clock_ns());
     customer_ = find_field(head_, front_.config().customer_header_);
     service_ = front_.find_service(head_.target_);
     if (head_.version_ != 11) {
@@ -211,6 +215,13 @@
         return;
     }
     const auto verdict = front_.admit(customer_, *service_);
+    if (trace_.sampled_) {
+        telemetry::span admission_span = telemetry::child_span(
+            trace_, "admission", telemetry::span_kind::internal,
+            telemetry::make_span_id(front_.random()), now, front_.loop().now());
+        admission_span.failed_ = !verdict.admitted();
+        front_.record(std::move(admission_span));
+    }
     if (!verdict.admitted()) {
         refuse(status_of(verdict.reason_), std::string{text_of(verdict.reason_)},
                verdict.retry_after_);
@@ -279,10 +290,18 @@
     dispatch_when_ready();
 }
 
-// Starts the first attempt once enough of the body is here to tell the request apart.
+// What may not be repeated and carries a key is claimed in the object API before it is sent.
+bool proxied_call::needs_claim() const
+{
+    return !state_.rules_.repeatable_ && front_.has_object_api() &&
+           has_field(head_, idempotency_key_field);
+}
+
+// Starts the call once enough of the body is here to tell the request apart.
 void proxied_call::dispatch_when_ready()
 {
-    if (dispatched_ || finished_ || (!request_ended_ && body_bytes_ < fingerprint_bytes)) {
+    const std::size_t enough = needs_claim() ? replay_bytes_max : fingerprint_bytes;
+    if (dispatched_ || finished_ || (!request_ended_ && body_bytes_ < enough)) {
         return;
     }
     dispatched_ = true;
@@ -295,9 +314,78 @@
                std::nullopt);
         return;
     }
+    if (needs_claim()) {
+        begin_claim();
+    }
+    else {
+        dispatch_now();
+    }
+}
+
+void proxied_call::dispatch_now()
+{
     execute(dispatch::begin(state_));
 }
 
+void proxied_call::begin_claim()
+{
+    const std::string_view key = find_field(head_, idempotency_key_field);
+    const std::string_view prefix = std::string_view{body_}.substr(0, replay_bytes_max);
+    dispatch::idempotency_claim claim;
+    claim.object_key_ = dispatch::idempotency_object_key(service_->config_->name_, customer_, key);
+    claim.record_ = {front_.next_request_id(),
+                     dispatch::request_digest(head_.method_, head_.target_, prefix),
+                     front_.config().host_.id_,
+                     static_cast<std::int64_t>(telemetry::wall_clock_ns() / 1'000'000)};
+    claim.call_timeout_ = front_.config().platform_.call_timeout_;
+    claim.deadline_ = deadline_;
+    claim_ = std::move(claim);
+    follow_claim(dispatch::begin_claim(*claim_));
+}
+
+void proxied_call::on_claim_reply(const platform::object_reply& reply)
+{
+    claim_ticket_ = 0;
+    follow_claim(dispatch::on_reply(*claim_, reply, front_.loop().now()));
+}
+
+void proxied_call::follow_claim(dispatch::claim_action action)
+{
+    switch (action.kind_) {
+    case dispatch::claim_action_kind::submit:
+        claim_timer_ = front_.loop().after(action.wait_, [this, call = action.call_] {
+            claim_timer_ = 0;
+            claim_ticket_ = front_.submit(call, this);
+        });
+        break;
+    case dispatch::claim_action_kind::proceed:
+        dispatch_now();
+        break;
+    case dispatch::claim_action_kind::refuse:
+        finish();
+        count_end(action.may_have_run_ ? telemetry::request_end::unknown
+                                       : telemetry::request_end::not_run);
+        caller_.answer_locally({action.status_, action.may_have_run_ ? "unknown" : "not-run",
+                                action.may_have_run_
+                                    ? "a request with this key came before; find out what it did"
+                                    : "this request was not run",
+                                std::nullopt, false});
+        break;
+    }
+}
+
+// Gives the key back when nothing ran under it, so that a resend may.
+void proxied_call::release_claim()
+{
+    front_.loop().cancel(std::exchange(claim_timer_, 0));
+    front_.drop_ticket(std::exchange(claim_ticket_, 0));
+    if (claim_ && !dispatch::may_have_run(state_)) {
+        if (auto call = dispatch::release(*claim_)) {
+            front_.submit(std::move(*call), nullptr);
+        }
+    }
+}
+
 void proxied_call::execute(const dispatch::actions& todo)
 {
     for (const dispatch::action& item : todo) {
@@ -378,6 +466,7 @@
         attempt.started_ = now;
         attempt.sent_ = now;
         attempt.request_id_ = front_.next_request_id();
+        attempt.span_ = telemetry::make_span_id(front_.random());
         routing::attempt_started(service_->view_, *target, now);
         upstream_connection* connection = pool.acquire(&attempt, !state_.rules_.repeatable_);
         if (connection != nullptr) {
@@ -399,7 +488,7 @@
     admission::started(front_.quarantined(), fingerprint_, attempt.target_name_, now);
 
     forwarded_fields added;
-    added.traceparent_ = find_field(head_, "traceparent");
+    added.traceparent_ = telemetry::outgoing_traceparent(trace_, attempt.span_);
     added.request_id_ = attempt.request_id_;
     added.remaining_ = deadline_ - now;
     added.inner_retries_ = false;
@@ -472,6 +561,7 @@
         front_.request_ended(fingerprint_, attempt.target_name_, finished);
     }
     front_.metrics().attempts_[end].Increment();
+    record_attempt(attempt, finished);
 }
 
 void proxied_call::fail_attempt(attempt_exchange& attempt, dispatch::attempt_failure failure)
@@ -494,6 +584,29 @@
     execute(dispatch::attempt_ended(state_, attempt.id_, failure, granted));
 }
 
+// Spans of an attempt that is over: the attempt from its choice, and the passing on of its answer.
+void proxied_call::record_attempt(const attempt_exchange& attempt, bool finished)
+{
+    if (!trace_.sampled_) {
+        return;
+    }
+    const time_point now = front_.loop().now();
+    using telemetry::span_kind;
+    telemetry::span whole = telemetry::child_span(trace_, "attempt", span_kind::client,
+                                                  attempt.span_, attempt.started_, now);
+    whole.failed_ = !finished;
+    whole.attributes_.emplace_back("server.address", attempt.target_name_);
+    front_.record(std::move(whole));
+    front_.record(telemetry::child_span(trace_, "choice", span_kind::internal,
+                                        telemetry::make_span_id(front_.random()), attempt.started_,
+                                        attempt.sent_));
+    if (attempt.status_ != 0) {
+        front_.record(telemetry::child_span(trace_, "answer", span_kind::internal,
+                                            telemetry::make_span_id(front_.random()),
+                                            attempt.answered_, now));
+    }
+}
+
 void proxied_call::arm_hedge()
 {
     if (hedge_timer_ != 0 || !dispatch::wants_hedge(state_)) {
@@ -594,9 +707,15 @@
     front_.loop().cancel(deadline_timer_);
     front_.loop().cancel(hedge_timer_);
     front_.loop().cancel(progress_timer_);
+    release_claim();
     if (admitted_) {
         front_.release(customer_, *service_);
     }
+    if (trace_.sampled_) {
+        telemetry::span whole = telemetry::root_span(trace_, "call", front_.loop().now());
+        whole.attributes_.emplace_back("http.request.method", head_.method_);
+        front_.record(std::move(whole));
+    }
 }
 
 } // namespace savoryscale::http
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -6,11 +6,13 @@
 #include "admission/quarantine.hpp"
 #include "base/clock.hpp"
 #include "dispatch/call.hpp"
+#include "dispatch/idempotency.hpp"
 #include "http/event_loop.hpp"
 #include "http/head.hpp"
 #include "http/upstream_exchange.hpp"
 #include "routing/target.hpp"
 #include "telemetry/metrics.hpp"
+#include "telemetry/trace.hpp"
 
 #include <array>
 #include <cstdint>
@@ -51,6 +53,8 @@
     std::optional<routing::load_report> load_;
     std::string request_id_;
     std::string target_name_; // for the quarantine
+    telemetry::span_id span_{};
+    time_point answered_{}; // when the answer's head came
     int status_ = 0;
     bool live_ = false;  // counts as in flight at its target
     bool ready_ = false; // its connection is open
@@ -75,6 +79,9 @@
     // The caller's connection closed, or its request turned out malformed.
     void on_caller_gone();
 
+    // The object API's answer for the claim on this call's idempotency key.
+    void on_claim_reply(const platform::object_reply& reply);
+
     // The caller's kernel took everything queued.
     void on_caller_drained();
 
@@ -83,6 +90,11 @@
 
     void refuse(int status, std::string text, std::optional<duration> retry_after);
     void dispatch_when_ready();
+    void dispatch_now();
+    bool needs_claim() const;
+    void begin_claim();
+    void follow_claim(dispatch::claim_action action);
+    void release_claim();
     void execute(const dispatch::actions& todo);
     void open_attempt(dispatch::attempt_id id);
     upstream_connection* acquire_target(attempt_exchange& attempt);
@@ -92,6 +104,7 @@
     void cancel_attempt(dispatch::attempt_id id);
     void report_end(attempt_exchange& attempt, routing::attempt_end end, bool finished);
     void fail_attempt(attempt_exchange& attempt, dispatch::attempt_failure failure);
+    void record_attempt(const attempt_exchange& attempt, bool finished);
     void arm_hedge();
     void on_hedge_due();
     void on_deadline();
@@ -106,6 +119,10 @@
     service_state* service_ = nullptr;
     dispatch::call state_;
     std::array<attempt_exchange, dispatch::attempts_max> exchanges_;
+    std::optional<dispatch::idempotency_claim> claim_;
+    std::uint64_t claim_ticket_ = 0;
+    timer_id claim_timer_ = 0;
+    telemetry::call_trace trace_;
     std::string customer_;
     std::string body_; // what of the request's body is held, from its beginning while replayable
     std::uint64_t body_bytes_ = 0;
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -27,6 +27,8 @@
     std::map<routing::target_index, target_connections> targets_;
     std::vector<routing::target_info> listed_;
     std::size_t connection_cap_ = 1; // of this host to each target
+    double probes_share_ = 0;        // of this host, per second
+    double probe_bytes_share_ = 0;   // of this host, per second
 };
 
 } // namespace savoryscale::http
