--- a/src/peer/fact.hpp
+++ b/src/peer/fact.hpp
@@ -16,6 +16,8 @@
                        // payload: targets
     host = 4,          // subject: host id; version: incarnation and counter; payload:
                        // peer/host_state.hpp
+    host_list = 5,     // subject: ""; version: milliseconds since the epoch when it was read;
+                       // payload: peer/wire.hpp
 };
 
 // One fact. A fact with a lifetime is forgotten when it has passed since it was first heard.
--- a/src/peer/host_state.hpp
+++ b/src/peer/host_state.hpp
@@ -17,7 +17,8 @@
     std::uint64_t lists_version_ = 0; // in force there; 0: none
     bool ready_ = false;
     bool leaving_ = false;
-    bool watching_ = false; // holds a watcher's lease
+    bool watching_ = false;   // holds a watcher's lease
+    bool store_lost_ = false; // its last call to the object API failed
 
     friend bool operator==(const host_state&, const host_state&) = default;
 };
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -221,6 +221,7 @@
     out.set_ready(value.ready_);
     out.set_leaving(value.leaving_);
     out.set_watching(value.watching_);
+    out.set_store_lost(value.store_lost_);
     return out.SerializeAsString();
 }
 
@@ -241,7 +242,47 @@
     value.ready_ = in.ready();
     value.leaving_ = in.leaving();
     value.watching_ = in.watching();
+    value.store_lost_ = in.store_lost();
     return value;
 }
 
+std::string encode(const std::vector<platform::listed_host>& hosts)
+{
+    wire::HostList out;
+    for (const platform::listed_host& each : hosts) {
+        wire::ListedHost& listed = *out.add_hosts();
+        listed.set_id(each.id_);
+        listed.set_kind(static_cast<std::uint32_t>(each.kind_));
+        listed.set_service(each.service_);
+        listed.set_data_centre(each.data_centre_);
+        listed.set_ip(each.address_.ip_);
+        listed.set_port(each.address_.port_);
+        listed.set_incarnation(each.incarnation_);
+        listed.set_leaving(each.leaving_);
+    }
+    return out.SerializeAsString();
+}
+
+result<std::vector<platform::listed_host>> parse_host_list(std::string_view bytes)
+{
+    wire::HostList in;
+    if (!parse_bounded(in, bytes) || static_cast<std::size_t>(in.hosts_size()) > max_listed_hosts) {
+        return tl::unexpected{invalid("a host list that cannot be read")};
+    }
+    std::vector<platform::listed_host> hosts;
+    for (const wire::ListedHost& each : in.hosts()) {
+        if (each.kind() > 1 || each.port() > std::numeric_limits<std::uint16_t>::max()) {
+            continue; // a kind of a newer release, or no address
+        }
+        hosts.push_back({each.id(),
+                         static_cast<platform::host_kind>(each.kind()),
+                         each.service(),
+                         each.data_centre(),
+                         {each.ip(), static_cast<std::uint16_t>(each.port())},
+                         each.incarnation(),
+                         each.leaving()});
+    }
+    return hosts;
+}
+
 } // namespace savoryscale::peer
--- a/src/peer/wire.hpp
+++ b/src/peer/wire.hpp
@@ -6,10 +6,12 @@
 #include "base/error.hpp"
 #include "peer/host_state.hpp"
 #include "peer/message.hpp"
+#include "platform/host_list.hpp"
 
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace savoryscale::peer {
 
@@ -19,6 +21,7 @@
 inline constexpr std::size_t max_name_bytes = 256;
 inline constexpr std::size_t max_facts = 4096;
 inline constexpr std::size_t max_references = 16384;
+inline constexpr std::size_t max_listed_hosts = 16384;
 
 // Encodes a message. Large payloads are compressed.
 std::string encode(const message& value);
@@ -31,4 +34,9 @@
 // Parses a host's own word. Errors: invalid.
 result<host_state> parse_host_state(std::string_view bytes);
 
+std::string encode(const std::vector<platform::listed_host>& hosts);
+
+// Parses the platform's host list as a peer tells it. Errors: invalid.
+result<std::vector<platform::listed_host>> parse_host_list(std::string_view bytes);
+
 } // namespace savoryscale::peer
