Run the control plane of an entry host on one task

Cause: exchange, lists, views, leases and status records need one owner.

Change: control_task carries out what the state machines decide: watchers hold one of two leases of their data centre, read the lists and the host list and tell the others; the first lease's holder writes the status record; a host without peers watches the store itself; shares are the total over the most hosts there can be. Its periods are a plain struct, so that tests run them faster.

Conclusion: ready to be wired into serve.

--- /dev/null
+++ b/src/membership/control_task.cpp
@@ -0,0 +1,634 @@
+#include "membership/control_task.hpp"
+
+#include "membership/host_view.hpp"
+#include "membership/inbox.hpp"
+#include "membership/lease.hpp"
+#include "membership/target_view.hpp"
+#include "peer/wire.hpp"
+#include "plans/keeper.hpp"
+#include "platform/host_list.hpp"
+#include "platform/object_client.hpp"
+#include "platform/status_record.hpp"
+#include "telemetry/log.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <set>
+
+namespace savoryscale::membership {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds loop_period{50};
+constexpr std::uint32_t host_lifetime_s = 90; // of a host's own word
+constexpr seconds host_period{30};            // it is told again after this
+constexpr milliseconds host_change_gap{200};  // between two changes of it
+constexpr std::uint32_t host_list_lifetime_s = 90;
+constexpr seconds host_list_retell{30};
+constexpr milliseconds call_timeout{1000};
+constexpr unsigned host_counter_bits = 20;
+constexpr std::uint32_t store_failures_until_lost = 3;
+
+std::int64_t unix_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+bool is_failure(platform::call_status status)
+{
+    return status == platform::call_status::not_sent || status == platform::call_status::unknown ||
+           status == platform::call_status::unavailable;
+}
+
+} // namespace
+
+// Everything that belongs to the task's thread.
+class control_task::loop {
+public:
+    loop(control_task& task, settings::settings settings, platform::object_client& store,
+         platform::host_list_client& host_list, control_callbacks callbacks,
+         const control_timing& timing)
+        : task_{task},
+          settings_{std::move(settings)},
+          store_{store},
+          host_list_{host_list},
+          callbacks_{std::move(callbacks)},
+          random_{std::random_device{}()},
+          started_{monotonic_now()},
+          keeper_{plans::make_keeper({}, started_, random_)},
+          targets_{make_target_view(settings_.services_)}
+    {
+        hosts_.self_ = settings_.host_.id_;
+        host_version_ = static_cast<std::uint64_t>(unix_ms() / 1000) << host_counter_bits;
+        const std::string holder =
+            fmt::format("{}@{}", settings_.host_.id_, host_version_ | random_() % 1000000);
+        for (std::size_t slot = 0; slot < leases_.size(); ++slot) {
+            leases_[slot].settings_.key_ =
+                fmt::format("lease/watch/{}/{}", settings_.host_.data_centre_, slot);
+            leases_[slot].settings_.holder_ = holder;
+            leases_[slot].settings_.term_ = timing.lease_term_;
+            leases_[slot].settings_.margin_ = timing.lease_margin_;
+            leases_[slot].settings_.renew_period_ = timing.lease_renew_period_;
+            leases_[slot].settings_.read_period_ = timing.lease_read_period_;
+        }
+        next_host_list_ = started_ + milliseconds{500 + uniform_below(random_, 1500)};
+        last_linked_ = started_;
+    }
+
+    result<settings::endpoint> start_exchange()
+    {
+        if (!settings_.peer_) {
+            return settings::endpoint{};
+        }
+        peer::peer_task_settings made;
+        made.host_id_ = settings_.host_.id_;
+        made.data_centre_ = settings_.host_.data_centre_;
+        made.exchange_ = *settings_.peer_;
+        peers_ = std::make_unique<peer::peer_task>(
+            made, [box = inbox_](peer::peer_event event) { box->post(std::move(event)); });
+        result<settings::endpoint> bound = peers_->start();
+        if (bound) {
+            exchange_address_ = *bound;
+        }
+        return bound;
+    }
+
+    void run()
+    {
+        tell_shares();
+        while (!task_.stopping_) {
+            for (control_input& input : inbox_->wait(loop_period)) {
+                std::visit([&](auto& value) { handle(value, monotonic_now()); }, input);
+            }
+            step(monotonic_now());
+        }
+    }
+
+    std::shared_ptr<inbox> inbox_ = std::make_shared<inbox>(); // shared with calls under way
+    std::unique_ptr<peer::peer_task> peers_;
+
+private:
+    // Inputs.
+
+    void handle(control_event& event, time_point now)
+    {
+        if (const auto* drain = std::get_if<drain_seen>(&event)) {
+            if (auto told = on_drain_seen(targets_, drain->service_, drain->address_,
+                                          drain->incarnation_, now)) {
+                tell(std::move(*told));
+            }
+        }
+        else if (const auto* suspicion = std::get_if<suspicion_raised>(&event)) {
+            tell(suspicion->fact_);
+        }
+        else if (std::holds_alternative<stopping>(event)) {
+            leaving_ = true;
+        }
+    }
+
+    void handle(peer::peer_event& event, time_point now)
+    {
+        if (const auto* learned = std::get_if<peer::fact_learned>(&event)) {
+            on_learned(learned->fact_, now);
+        }
+        else if (const auto* expired = std::get_if<peer::fact_expired>(&event)) {
+            on_expired(expired->fact_);
+        }
+        else if (const auto* linked = std::get_if<peer::peer_linked>(&event)) {
+            if (linked->linked_) {
+                linked_.insert(linked->peer_);
+            }
+            else {
+                linked_.erase(linked->peer_);
+                last_linked_ = now;
+            }
+        }
+    }
+
+    void handle(store_answer& answer, time_point now)
+    {
+        note_store_answer(answer.reply_.status_);
+        switch (answer.purpose_) {
+        case store_purpose::configuration:
+            carry_out(plans::on_store_reply(keeper_, answer.reply_, now, random_), now);
+            break;
+        case store_purpose::lease:
+            on_reply(leases_[answer.slot_], answer.reply_, now, random_);
+            break;
+        case store_purpose::status:
+            on_status_answer(answer, now);
+            break;
+        }
+    }
+
+    void handle(platform::host_list_reply& reply, time_point now)
+    {
+        host_list_called_ = false;
+        next_host_list_ = now + timing_.host_list_period_;
+        if (reply.status_ != platform::call_status::ok || reply.hosts_.empty()) {
+            return;
+        }
+        take_host_list(reply.hosts_);
+        const std::string payload = peer::encode(reply.hosts_);
+        if (payload == host_list_payload_ && now - host_list_told_ < host_list_retell) {
+            return;
+        }
+        host_list_payload_ = payload;
+        host_list_told_ = now;
+        host_list_version_ =
+            std::max(host_list_version_ + 1, static_cast<std::uint64_t>(unix_ms()));
+        tell({peer::fact_kind::host_list, "", host_list_version_, payload, host_list_lifetime_s});
+    }
+
+    void on_learned(const peer::fact& news, time_point now)
+    {
+        switch (news.kind_) {
+        case peer::fact_kind::configuration:
+            carry_out(plans::on_peer_configuration(keeper_, news.payload_), now);
+            break;
+        case peer::fact_kind::target_drain:
+            on_drain_fact(targets_, news);
+            break;
+        case peer::fact_kind::suspicion:
+            callbacks_.on_suspicion_(news);
+            break;
+        case peer::fact_kind::host:
+            on_host_word(news);
+            break;
+        case peer::fact_kind::host_list:
+            on_told_host_list(news, now);
+            break;
+        }
+    }
+
+    void on_host_word(const peer::fact& word)
+    {
+        if (word.subject_ == hosts_.self_) {
+            // An earlier life of this host, or its clock has stepped back: speak louder.
+            host_version_ = std::max(host_version_, word.version_ + 1);
+            next_host_word_ = {};
+            return;
+        }
+        if (!on_host_fact(hosts_, word)) {
+            ++task_.counters_.facts_refused_;
+        }
+    }
+
+    void on_told_host_list(const peer::fact& news, time_point now)
+    {
+        const auto hosts = peer::parse_host_list(news.payload_);
+        if (!hosts) {
+            ++task_.counters_.facts_refused_;
+            return;
+        }
+        host_list_version_ = news.version_;
+        host_list_payload_ = news.payload_;
+        host_list_told_ = now;
+        take_host_list(*hosts);
+    }
+
+    void on_expired(const peer::fact& past)
+    {
+        if (past.kind_ == peer::fact_kind::target_drain) {
+            on_drain_expired(targets_, past);
+        }
+        else if (past.kind_ == peer::fact_kind::host) {
+            on_host_expired(hosts_, past);
+        }
+    }
+
+    void take_host_list(const std::vector<platform::listed_host>& hosts)
+    {
+        host_list_known_ = true;
+        on_host_list(targets_, hosts);
+        listed_peers_.clear();
+        for (const platform::listed_host& each : hosts) {
+            if (each.kind_ == platform::host_kind::entry && !each.leaving_ &&
+                each.id_ != hosts_.self_) {
+                listed_peers_.push_back(each.address_);
+            }
+        }
+    }
+
+    // What is due.
+
+    void step(time_point now)
+    {
+        step_keeper(now);
+        step_leases(now);
+        step_host_list(now);
+        step_status(now);
+        step_host_word(now);
+        step_links(now);
+        tell_targets();
+        task_.counters_.hosts_seen_ = hosts_.hosts_.size();
+    }
+
+    void step_keeper(time_point now)
+    {
+        plans::on_peers_heard(keeper_, heard(now));
+        carry_out(plans::set_watcher(keeper_, is_watching(now), now), now);
+        carry_out(plans::on_timer(keeper_, now), now);
+        const bool ready = plans::is_ready(keeper_, now) && !leaving_;
+        if (ready != ready_) {
+            ready_ = ready;
+            telemetry::state_change(ready ? "host_ready" : "host_not_ready", {});
+            callbacks_.on_ready_(ready);
+        }
+    }
+
+    bool holds_lease(time_point now) const
+    {
+        return std::any_of(leases_.begin(), leases_.end(),
+                           [&](const lease& each) { return is_held(each, now); });
+    }
+
+    // Without peers a host can hear of nothing but from the store.
+    bool is_isolated(time_point now) const
+    {
+        return linked_.empty() && now - last_linked_ >= timing_.isolated_after_;
+    }
+
+    bool is_watching(time_point now) const { return holds_lease(now) || is_isolated(now); }
+
+    plans::peers_heard heard(time_point now) const
+    {
+        const std::size_t seeds = settings_.peer_ ? settings_.peer_->seeds_.size() : 0;
+        const std::size_t named = std::max(seeds, listed_peers_.size());
+        if (!settings_.peer_ || (named == 0 && host_list_known_)) {
+            return plans::peers_heard::all;
+        }
+        // A digest has gone over a link by then.
+        const bool settled = now - started_ >= timing_.contend_after_;
+        return !linked_.empty() && settled ? plans::peers_heard::some : plans::peers_heard::none;
+    }
+
+    void step_leases(time_point now)
+    {
+        const bool contends =
+            !leaving_ && now - started_ >= timing_.contend_after_ && is_watch_contender(hosts_);
+        for (std::size_t slot = 0; slot < leases_.size(); ++slot) {
+            const lease& other = leases_[1 - slot];
+            const bool has_other = is_held(other, now) || writes(other);
+            if (const auto call = on_timer(leases_[slot], contends && !has_other, now)) {
+                submit(store_purpose::lease, slot, call->operation_, leases_[slot].settings_.key_,
+                       call->value_, call->expected_version_, call_timeout);
+            }
+        }
+        const bool holds = holds_lease(now);
+        if (holds != held_) {
+            held_ = holds;
+            task_.counters_.watching_ = holds ? 1 : 0;
+            task_.counters_.lease_terms_ += holds ? 1 : 0;
+            status_version_.reset();
+            telemetry::state_change(holds ? "watch_lease_taken" : "watch_lease_ended", {});
+        }
+    }
+
+    static bool writes(const lease& state)
+    {
+        return state.call_ && state.call_->operation_ != platform::operation::get;
+    }
+
+    // Watchers read the list; others only while nobody has told them one.
+    void step_host_list(time_point now)
+    {
+        const bool due = now >= next_host_list_ && !host_list_called_;
+        if (!due || (host_list_known_ && !is_watching(now))) {
+            return;
+        }
+        host_list_called_ = true;
+        ++task_.counters_.host_list_calls_;
+        host_list_.fetch(call_timeout, [box = inbox_](platform::host_list_reply reply) {
+            box->post(std::move(reply));
+        });
+    }
+
+    // Only the holder of the first lease reports, and only while it holds it.
+    void step_status(time_point now)
+    {
+        if (!is_held(leases_[0], now) || now < next_status_ || status_called_) {
+            return;
+        }
+        status_called_ = true;
+        next_status_ = now + platform::status_report_period;
+        const std::string key = platform::status_key(settings_.host_.data_centre_);
+        if (!status_version_) {
+            submit(store_purpose::status, 0, platform::operation::get, key, "", 0, call_timeout);
+            return;
+        }
+        submit(store_purpose::status, 0,
+               *status_version_ == 0 ? platform::operation::create : platform::operation::update,
+               key, platform::print(status_now()), *status_version_, call_timeout);
+    }
+
+    void on_status_answer(const store_answer& answer, time_point now)
+    {
+        status_called_ = false;
+        if (answer.reply_.status_ == platform::call_status::ok && !answer.reply_.objects_.empty()) {
+            status_version_ = answer.reply_.objects_.front().version_;
+        }
+        else if (answer.reply_.status_ == platform::call_status::not_found) {
+            status_version_ = 0;
+        }
+        else {
+            status_version_.reset(); // read before the next write
+            return;
+        }
+        if (answer.operation_ == platform::operation::get) {
+            next_status_ = now;
+        }
+    }
+
+    platform::status_record status_now() const
+    {
+        platform::status_record record;
+        record.data_centre_ = settings_.host_.data_centre_;
+        record.reporter_ = hosts_.self_;
+        record.written_ms_ = unix_ms();
+        for (const auto& [id, state] : hosts_.hosts_) {
+            if (state.data_centre_ != record.data_centre_ || state.leaving_) {
+                continue;
+            }
+            const bool behind = state.lists_version_ < plans::held_version(keeper_);
+            record.hosts_.push_back(
+                {id, state.lists_version_, behind ? "has not taken in the newest lists yet" : ""});
+        }
+        return record;
+    }
+
+    // This host's own word, when it has changed or is due again.
+    void step_host_word(time_point now)
+    {
+        peer::host_state word;
+        word.data_centre_ = settings_.host_.data_centre_;
+        word.region_ = settings_.host_.region_;
+        word.address_ = exchange_address_;
+        word.public_key_ = settings_.peer_ ? settings_.peer_->public_key_ : "";
+        word.lists_version_ = plans::held_version(keeper_);
+        word.ready_ = ready_;
+        word.leaving_ = leaving_;
+        word.watching_ = held_;
+        word.store_lost_ = store_failures_ >= store_failures_until_lost;
+        const bool changed = !(hosts_.hosts_[hosts_.self_] == word);
+        if (now < (changed ? next_host_change_ : next_host_word_)) {
+            return;
+        }
+        hosts_.hosts_[hosts_.self_] = word;
+        next_host_word_ = now + host_period;
+        next_host_change_ = now + host_change_gap;
+        tell({peer::fact_kind::host, hosts_.self_, ++host_version_, peer::encode(word),
+              host_lifetime_s});
+    }
+
+    void step_links(time_point now)
+    {
+        if (!peers_ || now < next_links_) {
+            return;
+        }
+        next_links_ = now + timing_.links_period_;
+        std::vector<peer::peer_address> links = choose_links(hosts_);
+        add_stranger(links, now);
+        if (links != links_) {
+            links_ = links;
+            peers_->post(peer::set_links{std::move(links)});
+        }
+    }
+
+    // One address that the view does not know, changed at times: the way back together after hosts
+    // have lost sight of each other. Without any linked peer it changes faster.
+    void add_stranger(std::vector<peer::peer_address>& links, time_point now)
+    {
+        std::vector<settings::endpoint> strangers;
+        const auto consider = [&](const settings::endpoint& address) {
+            const bool known =
+                std::any_of(hosts_.hosts_.begin(), hosts_.hosts_.end(),
+                            [&](const auto& host) { return host.second.address_ == address; });
+            if (!known) {
+                strangers.push_back(address);
+            }
+        };
+        std::for_each(settings_.peer_->seeds_.begin(), settings_.peer_->seeds_.end(), consider);
+        std::for_each(listed_peers_.begin(), listed_peers_.end(), consider);
+        if (strangers.empty()) {
+            return;
+        }
+        if (now >= next_stranger_) {
+            next_stranger_ =
+                now + (linked_.empty() ? timing_.stranger_period_ / 3 : timing_.stranger_period_);
+            stranger_ = random_();
+        }
+        links.push_back({strangers[stranger_ % strangers.size()], ""});
+    }
+
+    // Effects.
+
+    void carry_out(const plans::keeper_actions& actions, time_point now)
+    {
+        const std::string key{plans::configuration_key};
+        for (const plans::keeper_action& action : actions) {
+            switch (action.kind_) {
+            case plans::keeper_action_kind::read_store:
+                submit(store_purpose::configuration, 0, platform::operation::get, key, "", 0,
+                       action.timeout_);
+                break;
+            case plans::keeper_action_kind::watch_store:
+                submit(store_purpose::configuration, 0, platform::operation::watch, key, "",
+                       action.above_version_, action.timeout_);
+                break;
+            case plans::keeper_action_kind::adopted:
+                adopt(now);
+                break;
+            }
+        }
+    }
+
+    void adopt(time_point now)
+    {
+        const std::uint64_t version = plans::held_version(keeper_);
+        task_.counters_.lists_version_ = version;
+        telemetry::state_change("lists_adopted", {{"version", std::to_string(version)}});
+        callbacks_.on_lists_(keeper_.in_force_->lists_);
+        tell({peer::fact_kind::configuration, "", version, keeper_.text_, 0});
+        step_host_word(now);
+    }
+
+    void submit(store_purpose purpose, std::size_t slot, platform::operation operation,
+                const std::string& key, const std::string& value, std::uint64_t expected,
+                duration timeout)
+    {
+        ++task_.counters_.store_calls_;
+        platform::object_call call;
+        call.operation_ = operation;
+        call.key_ = key;
+        call.value_ = value;
+        call.expected_version_ = expected;
+        call.timeout_ = timeout;
+        call.done_ = [box = inbox_, purpose, slot, operation](platform::object_reply reply) {
+            box->post(store_answer{purpose, slot, operation, std::move(reply)});
+        };
+        store_.submit(std::move(call));
+    }
+
+    void note_store_answer(platform::call_status status)
+    {
+        store_failures_ = is_failure(status) ? store_failures_ + 1 : 0;
+    }
+
+    void tell(peer::fact news)
+    {
+        if (peers_) {
+            peers_->post(peer::tell_fact{std::move(news)});
+        }
+    }
+
+    void tell_targets()
+    {
+        for (const std::string& service : std::exchange(targets_.changed_, {})) {
+            callbacks_.on_targets_(service, targets_of(targets_, service));
+        }
+    }
+
+    // Each host's part of what all may spend on measuring: the total over the most hosts there can
+    // be.
+    void tell_shares()
+    {
+        for (const settings::service& service : settings_.services_) {
+            tell_share("probes/" + service.name_, service.probes_per_second_);
+            tell_share("probe_bytes/" + service.name_, service.probe_bytes_per_second_);
+        }
+    }
+
+    void tell_share(const std::string& resource, std::uint64_t total)
+    {
+        const std::uint64_t part = total / std::max(settings_.host_.hosts_max_, 1U);
+        callbacks_.on_share_({resource, part, part, time_point::max()});
+    }
+
+    control_task& task_;
+    settings::settings settings_;
+    platform::object_client& store_;
+    platform::host_list_client& host_list_;
+    control_callbacks callbacks_;
+    control_timing timing_;
+    random_source random_;
+    time_point started_;
+
+    plans::keeper keeper_;
+    target_view targets_;
+    host_view hosts_;
+    std::array<lease, watchers_per_data_centre> leases_;
+    bool held_ = false;
+    bool ready_ = false;
+    bool leaving_ = false;
+
+    std::set<std::string> linked_;
+    time_point last_linked_;
+    settings::endpoint exchange_address_;
+    std::vector<peer::peer_address> links_;
+    time_point next_links_;
+    std::uint64_t stranger_ = 0;
+    time_point next_stranger_;
+
+    std::uint64_t host_version_ = 0;
+    time_point next_host_word_;
+    time_point next_host_change_;
+    std::uint32_t store_failures_ = 0; // in a row
+
+    bool host_list_known_ = false;
+    bool host_list_called_ = false;
+    time_point next_host_list_;
+    time_point host_list_told_;
+    std::string host_list_payload_;
+    std::uint64_t host_list_version_ = 0;
+    std::vector<settings::endpoint> listed_peers_;
+
+    std::optional<std::uint64_t> status_version_; // 0: the record does not exist
+    bool status_called_ = false;
+    time_point next_status_;
+};
+
+control_task::control_task(const settings::settings& settings, platform::object_client& store,
+                           platform::host_list_client& host_list, control_callbacks callbacks,
+                           const control_timing& timing)
+    : loop_{std::make_unique<loop>(*this, settings, store, host_list, std::move(callbacks), timing)}
+{
+}
+
+control_task::~control_task()
+{
+    stopping_ = true;
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+result<void> control_task::start()
+{
+    const result<settings::endpoint> bound = loop_->start_exchange();
+    if (!bound) {
+        return tl::unexpected{bound.error()};
+    }
+    exchange_address_ = *bound;
+    thread_ = std::thread{[this] { loop_->run(); }};
+    return {};
+}
+
+void control_task::post(control_event event)
+{
+    loop_->inbox_->post(std::move(event));
+}
+
+const peer::peer_counters* control_task::exchange_counters() const
+{
+    return loop_->peers_ ? &loop_->peers_->counters() : nullptr;
+}
+
+} // namespace savoryscale::membership
--- a/src/membership/control_task.hpp
+++ b/src/membership/control_task.hpp
@@ -4,8 +4,8 @@
 // view of hosts and targets, the watcher's lease, and status records. It talks to the request path
 // by the callbacks below and by the events that are posted to it.
 
+#include "base/clock.hpp"
 #include "base/error.hpp"
-#include "base/mailbox.hpp"
 #include "peer/fact.hpp"
 #include "plans/lists.hpp"
 #include "routing/target.hpp"
@@ -40,6 +40,20 @@
     time_point until_;
 };
 
+// Periods of the control task.
+struct control_timing {
+    duration contend_after_ = std::chrono::seconds{3};    // from the start: peers are heard first
+    duration isolated_after_ = std::chrono::seconds{5};   // without a linked peer
+    duration host_list_period_ = std::chrono::seconds{2}; // of a watcher
+    duration links_period_ = std::chrono::seconds{1};
+    duration stranger_period_ =
+        std::chrono::seconds{10};                    // another address beyond the view is tried
+    duration lease_term_ = std::chrono::seconds{10}; // see lease_settings for the next three
+    duration lease_margin_ = std::chrono::seconds{1};
+    duration lease_renew_period_ = std::chrono::seconds{3};
+    duration lease_read_period_ = std::chrono::seconds{5};
+};
+
 // Run on the control task's thread; they must not block, and post to the task they are for.
 struct control_callbacks {
     std::function<void(const plans::lists&)> on_lists_; // newer lists are in force
@@ -90,7 +104,8 @@
 public:
     // The clients must outlive the task; calls that are under way when it ends are let go.
     control_task(const settings::settings& settings, platform::object_client& store,
-                 platform::host_list_client& host_list, control_callbacks callbacks);
+                 platform::host_list_client& host_list, control_callbacks callbacks,
+                 const control_timing& timing = {});
     control_task(const control_task&) = delete;
     control_task& operator=(const control_task&) = delete;
     control_task(control_task&&) = delete;
@@ -102,6 +117,9 @@
     // when the address cannot be bound, invalid for bad keys.
     result<void> start();
 
+    // Where peers reach this host; known after start, for listeners on port 0.
+    const settings::endpoint& exchange_address() const { return exchange_address_; }
+
     // Any thread may post.
     void post(control_event event);
 
@@ -114,7 +132,10 @@
     class loop;
 
     control_counters counters_;
+    settings::endpoint exchange_address_;
     std::unique_ptr<loop> loop_;
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
 };
 
 } // namespace savoryscale::membership
--- /dev/null
+++ b/src/membership/inbox.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+// Everything that reaches the control task, in one queue that it can wait on.
+
+#include "base/mailbox.hpp"
+#include "membership/control_task.hpp"
+#include "peer/peer_task.hpp"
+#include "platform/host_list.hpp"
+#include "platform/object_api.hpp"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <variant>
+
+namespace savoryscale::membership {
+
+// What a call to the object API was made for.
+enum class store_purpose : std::uint8_t { configuration, lease, status };
+
+// The answer to one call. `slot_` is the lease's.
+struct store_answer {
+    store_purpose purpose_ = store_purpose::configuration;
+    std::size_t slot_ = 0;
+    platform::operation operation_ = platform::operation::get;
+    platform::object_reply reply_;
+};
+
+using control_input =
+    std::variant<control_event, peer::peer_event, store_answer, platform::host_list_reply>;
+
+class inbox {
+public:
+    inbox()
+    {
+        messages_.on_post([this] {
+            const std::lock_guard lock{mutex_};
+            posted_ = true;
+            changed_.notify_one();
+        });
+    }
+
+    // Any thread may post.
+    void post(control_input input) { messages_.post(std::move(input)); }
+
+    // Waits for a message or the timeout; returns all there are.
+    std::deque<control_input> wait(std::chrono::milliseconds timeout)
+    {
+        {
+            std::unique_lock lock{mutex_};
+            changed_.wait_for(lock, timeout, [this] { return posted_; });
+            posted_ = false;
+        }
+        return messages_.take();
+    }
+
+private:
+    mailbox<control_input> messages_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool posted_ = false;
+};
+
+} // namespace savoryscale::membership
--- /dev/null
+++ b/tests/support/fake_platform.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+// The platform inside the test program. Each host has its own client, which can be cut.
+
+#include "platform/host_list.hpp"
+#include "platform/object_client.hpp"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace savoryscale::tests {
+
+// The objects all clients see. A watch is answered by the next write of its key.
+class fake_store {
+public:
+    platform::object_reply apply(const platform::object_call& call)
+    {
+        std::vector<platform::object_call> woken;
+        platform::object_reply reply;
+        {
+            const std::lock_guard lock{mutex_};
+            reply = apply_locked(call, woken);
+        }
+        for (const platform::object_call& each : woken) {
+            each.done_(apply(each));
+        }
+        return reply;
+    }
+
+    // Keeps a watch until the key is written, unless it is behind already.
+    void watch(const platform::object_call& call)
+    {
+        {
+            const std::lock_guard lock{mutex_};
+            const auto it = objects_.find(call.key_);
+            if (it == objects_.end() || it->second.version_ <= call.expected_version_) {
+                watches_.push_back(call);
+                return;
+            }
+        }
+        call.done_(apply(call));
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        platform::object_call call;
+        call.operation_ = platform::operation::get;
+        call.key_ = key;
+        const platform::object_reply old = apply(call);
+        const bool exists = old.status_ == platform::call_status::ok;
+        call.operation_ = exists ? platform::operation::update : platform::operation::create;
+        call.expected_version_ = exists ? old.objects_.front().version_ : 0;
+        call.value_ = value;
+        apply(call);
+    }
+
+    std::string value(const std::string& key)
+    {
+        const std::lock_guard lock{mutex_};
+        const auto it = objects_.find(key);
+        return it == objects_.end() ? "" : it->second.value_;
+    }
+
+private:
+    platform::object_reply apply_locked(const platform::object_call& call,
+                                        std::vector<platform::object_call>& woken)
+    {
+        using platform::call_status;
+        using platform::operation;
+        const auto it = objects_.find(call.key_);
+        const bool reads = call.operation_ == operation::get || call.operation_ == operation::watch;
+        if (reads) {
+            return it == objects_.end() ? platform::object_reply{call_status::not_found, {}}
+                                        : platform::object_reply{call_status::ok, {it->second}};
+        }
+        const std::uint64_t version = it == objects_.end() ? 0 : it->second.version_;
+        const std::uint64_t expected =
+            call.operation_ == operation::create ? 0 : call.expected_version_;
+        if (version != expected) {
+            return {call_status::conflict, {}};
+        }
+        objects_[call.key_] = {call.key_, call.value_, ++written_};
+        for (auto each = watches_.begin(); each != watches_.end();) {
+            if (each->key_ == call.key_) {
+                woken.push_back(*each);
+                each = watches_.erase(each);
+            }
+            else {
+                ++each;
+            }
+        }
+        return {call_status::ok, {objects_[call.key_]}};
+    }
+
+    std::mutex mutex_;
+    std::map<std::string, platform::object> objects_;
+    std::vector<platform::object_call> watches_;
+    std::uint64_t written_ = 0;
+};
+
+// One host's way to the store and the host list.
+class fake_client final : public platform::object_client, public platform::host_list_client {
+public:
+    explicit fake_client(fake_store& store) : store_{store} {}
+
+    void submit(platform::object_call call) override
+    {
+        if (down_) {
+            call.done_({platform::call_status::unavailable, {}});
+        }
+        else if (call.operation_ == platform::operation::watch) {
+            store_.watch(call);
+        }
+        else {
+            call.done_(store_.apply(call));
+        }
+    }
+
+    void fetch(duration /*timeout*/, std::function<void(platform::host_list_reply)> done) override
+    {
+        if (down_) {
+            done({platform::call_status::unavailable, {}});
+            return;
+        }
+        const std::lock_guard lock{mutex_};
+        done({platform::call_status::ok, listed_});
+    }
+
+    void list(std::vector<platform::listed_host> hosts)
+    {
+        const std::lock_guard lock{mutex_};
+        listed_ = std::move(hosts);
+    }
+
+    std::atomic<bool> down_{false};
+
+private:
+    fake_store& store_;
+    std::mutex mutex_;
+    std::vector<platform::listed_host> listed_;
+};
+
+} // namespace savoryscale::tests
