--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -34,6 +34,18 @@
     time_point now_{seconds{1000}};
     service_view view_ = make_view(settings::service{}, "mobile", policy::least_wait);
 
+    void answer_after(target_index target, duration latency)
+    {
+        attempt_started(view_, target, now_ - latency);
+        attempt_ended(view_, {target, attempt_end::answered, latency, {}}, now_);
+    }
+
+    void fail(target_index target, attempt_end end)
+    {
+        attempt_started(view_, target, now_);
+        attempt_ended(view_, {target, end, milliseconds{0}, load_report{0, 0}}, now_);
+    }
+
     // An answer after 2 ms that reports the requests in flight.
     void hear(target_index target, double in_flight)
     {
@@ -143,6 +155,101 @@
     CHECK(take_retry(view_, now_));
 }
 
+TEST(routing, a_straggler_is_avoided_and_tried_again_later)
+{
+    update_targets(view_, targets(10), now_);
+    for (int time = 0; time < 200; ++time) {
+        for (target_index other = 1; other < 10; ++other) {
+            answer_after(other, milliseconds{2});
+        }
+        answer_after(0, milliseconds{60});
+    }
+    for (target_index other = 1; other < 10; ++other) {
+        attempt_started(view_, other, now_);
+    }
+    const auto seen = chosen(100);
+    CHECK(seen.count(0) == 0);
+    CHECK(!seen.empty());
+    now_ += seconds{20};
+    CHECK(chosen(50) == std::set<target_index>{0});
+}
+
+TEST(routing, a_target_that_fails_fast_is_avoided_though_it_reports_no_load)
+{
+    update_targets(view_, targets(4), now_);
+    for (int time = 0; time < 40; ++time) {
+        hear(1, 3);
+        hear(2, 3);
+        hear(3, 3);
+        fail(0, attempt_end::failed);
+    }
+    CHECK(chosen(100).count(0) == 0);
+    now_ += seconds{5};
+    for (const target_index busy : {1, 2, 3}) {
+        attempt_started(view_, busy, now_);
+    }
+    CHECK(chosen(50) == std::set<target_index>{0});
+    attempt_started(view_, 0, now_);
+    CHECK(chosen(100).count(0) == 0); // one trial at a time
+    attempt_ended(view_, {0, attempt_end::answered, milliseconds{2}, {}}, now_);
+    now_ += seconds{3};
+    CHECK(chosen(50) == std::set<target_index>{0});
+}
+
+TEST(routing, a_crash_ejects_at_once)
+{
+    update_targets(view_, targets(3), now_);
+    fail(0, attempt_end::crashed);
+    attempt_started(view_, 1, now_);
+    attempt_started(view_, 2, now_);
+    CHECK(chosen(100) == (std::set<target_index>{1, 2}));
+}
+
+TEST(routing, when_all_targets_fail_the_load_spreads)
+{
+    update_targets(view_, targets(4), now_);
+    for (int time = 0; time < 100; ++time) {
+        for (const target_index each : {0, 1, 2, 3}) {
+            fail(each, attempt_end::failed);
+        }
+    }
+    for (const target_index each : {0, 1, 2}) {
+        fail(each, attempt_end::crashed);
+    }
+    for (int time = 0; time < 8; ++time) {
+        attempt_started(view_, choose(view_, {}, now_, random_).value(), now_);
+    }
+    for (const auto& each : view_.targets_) {
+        LONGS_EQUAL(2, each.in_flight_);
+    }
+}
+
+TEST(routing, answers_of_an_earlier_incarnation_raise_no_suspicion)
+{
+    auto all = targets(2);
+    update_targets(view_, all, now_);
+    attempt_started(view_, 0, now_);
+    now_ += milliseconds{50};
+    all[0].incarnation_ = 2;
+    update_targets(view_, all, now_);
+    now_ += milliseconds{1};
+    attempt_ended(view_, {0, attempt_end::crashed, milliseconds{51}, load_report{0, 0, true}},
+                  now_);
+    now_ += seconds{10};
+    CHECK(chosen(100).count(0) == 1);
+}
+
+TEST(routing, a_new_incarnation_starts_slowly)
+{
+    auto all = targets(2);
+    update_targets(view_, all, now_);
+    all[0].incarnation_ = 2;
+    update_targets(view_, all, now_);
+    CHECK(chosen(50) == std::set<target_index>{1});
+    now_ += seconds{2};
+    CHECK(chosen(50) == (std::set<target_index>{0, 1}));
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
