Put the whole entry host together: HTTP task, control plane, platform clients, traces

Cause: serve ran the HTTP task alone. Change: cli/entry_host owns every task and passes their messages; shares of the probe budget follow the control plane; a host without a platform in its settings stands alone.

--- /dev/null
+++ b/src/cli/entry_host.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+// One entry host put together: every task, the clients they use, and the messages between them.
+
+#include "base/error.hpp"
+#include "http/event_loop.hpp"
+#include "http/front.hpp"
+#include "membership/control_task.hpp"
+#include "platform/http_host_list_client.hpp"
+#include "platform/http_object_client.hpp"
+#include "settings/settings.hpp"
+#include "telemetry/admin_task.hpp"
+#include "telemetry/metrics.hpp"
+#include "telemetry/readiness.hpp"
+#include "telemetry/span_exporter.hpp"
+#include "telemetry/span_queue.hpp"
+
+#include <prometheus/registry.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <thread>
+
+namespace savoryscale::cli {
+
+class entry_host {
+public:
+    // `on_stopped` is called from a task's thread when a graceful stop has ended.
+    entry_host(const settings::settings& config, std::function<void()> on_stopped);
+
+    // Ends every task at once.
+    ~entry_host();
+    entry_host(const entry_host&) = delete;
+    entry_host& operator=(const entry_host&) = delete;
+    entry_host(entry_host&&) = delete;
+    entry_host& operator=(entry_host&&) = delete;
+
+    // Starts every task. Errors: an address that cannot be bound, keys or files that do not fit.
+    result<void> start();
+
+    // Fails readiness, tells the peers, and lets what is in progress end.
+    void begin_stop();
+
+private:
+    result<void> start_control();
+    result<void> start_tracing();
+    http::front_events front_events();
+    membership::control_callbacks control_callbacks();
+    void submit(platform::object_call call);
+    void set_ready(bool ready);
+    void publish_control_counters();
+
+    const settings::settings& config_;
+    std::function<void()> on_stopped_;
+    std::uint64_t seed_;
+    prometheus::Registry registry_;
+    const telemetry::metrics metrics_;
+    std::atomic<telemetry::readiness> readiness_ = telemetry::readiness::starting;
+    std::unique_ptr<telemetry::admin_task> admin_;
+    std::optional<telemetry::span_queue> spans_;
+    std::unique_ptr<telemetry::span_exporter> exporter_;
+    std::unique_ptr<http::event_loop> loop_;
+    std::unique_ptr<http::front> front_;
+    // The clients' threads post to the front, so that they end before it.
+    std::unique_ptr<platform::http_object_client> store_;
+    std::unique_ptr<platform::http_host_list_client> host_list_;
+    std::unique_ptr<membership::control_task> control_;
+    std::uint64_t peer_bytes_sent_ = 0; // as last published
+    std::uint64_t peer_bytes_received_ = 0;
+    std::thread front_thread_;
+};
+
+} // namespace savoryscale::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,31 +1,18 @@
 #include "cli/serve.hpp"
 
 #include "cli/command.hpp"
-#include "http/event_loop.hpp"
-#include "http/front.hpp"
-#include "settings/settings.hpp"
-#include "telemetry/admin_task.hpp"
+#include "cli/entry_host.hpp"
 #include "telemetry/log.hpp"
-#include "telemetry/metrics.hpp"
-#include "telemetry/readiness.hpp"
 
-#include <fmt/format.h>
-
-#include <prometheus/registry.h>
-
-#include <atomic>
 #include <csignal>
 #include <iostream>
-#include <memory>
-#include <random>
-#include <thread>
 #include <unistd.h>
 
 namespace savoryscale::cli {
 
 namespace {
 
-// Sent by the HTTP task to this process when its last caller has gone.
+// Sent to this process by its own task when a graceful stop has ended.
 constexpr int stopped_signal = SIGUSR1;
 
 // Signals are taken by the main thread alone; every thread started later inherits the mask.
@@ -40,15 +27,8 @@
     return watched;
 }
 
-int fail(const error& fault)
-{
-    fmt::print(stderr, "{}\n", to_string(fault));
-    return exit_failure;
-}
-
 // Waits for signals: the first asks for a graceful stop, the second forces it.
-int wait_for_stop(const sigset_t& watched, http::front& front,
-                  std::atomic<telemetry::readiness>& readiness)
+int wait_for_stop(const sigset_t& watched, entry_host& host)
 {
     bool stopping = false;
     while (true) {
@@ -63,10 +43,18 @@
             return exit_failure;
         }
         stopping = true;
-        readiness = telemetry::readiness::stopping;
-        telemetry::state_change("host_stopping", {});
-        front.post([](http::front& task) { task.begin_stop(); });
+        host.begin_stop();
+    }
+}
+
+int run_host(const settings::settings& config, const sigset_t& watched)
+{
+    entry_host host{config, [] { ::kill(::getpid(), stopped_signal); }};
+    if (const auto started = host.start(); !started) {
+        std::cerr << to_string(started.error()) << '\n';
+        return exit_failure;
     }
+    return wait_for_stop(watched, host);
 }
 
 } // namespace
@@ -75,40 +63,7 @@
 {
     const sigset_t watched = block_signals();
     telemetry::start_logging(config.logging_, std::cerr);
-    prometheus::Registry registry;
-    const telemetry::metrics metrics = telemetry::register_metrics(registry);
-    std::atomic<telemetry::readiness> readiness = telemetry::readiness::starting;
-    std::unique_ptr<telemetry::admin_task> admin;
-    if (config.admin_) {
-        auto started = telemetry::admin_task::start(*config.admin_, registry, readiness);
-        if (!started) {
-            return fail(started.error());
-        }
-        admin = std::move(*started);
-    }
-
-    auto loop = http::event_loop::make(config.listen_.max_connections_ * 2);
-    if (!loop) {
-        return fail(loop.error());
-    }
-    http::front_events events;
-    events.on_stopped_ = [] { ::kill(::getpid(), stopped_signal); };
-    std::random_device entropy;
-    const std::uint64_t seed = (std::uint64_t{entropy()} << 32) | entropy();
-    auto front = std::make_unique<http::front>(**loop, config, metrics, seed, std::move(events));
-    const auto port = front->open();
-    if (!port) {
-        return fail(port.error());
-    }
-    readiness = telemetry::readiness::ready;
-    telemetry::state_change("host_serving", {{"host", config.host_.id_},
-                                             {"ip", config.listen_.address_.ip_},
-                                             {"port", std::to_string(*port)}});
-    std::thread task{[&] { (*loop)->run([&] { front->run_posted(); }); }};
-    const int code = wait_for_stop(watched, *front, readiness);
-    (*loop)->stop();
-    task.join();
-    front.reset();
+    const int code = run_host(config, watched);
     telemetry::stop_logging();
     return code;
 }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -146,19 +146,35 @@
     }
 }
 
-void front::set_probe_share(std::string_view service, double probes_per_second)
+void front::set_share(const std::string& resource, double amount, time_point until, double later)
 {
-    if (service_state* state = service_named(service); state != nullptr) {
-        state->probes_share_ = probes_per_second;
-        apply_probe_share(*state);
-    }
+    apply_share(resource, amount);
+    timer_id& timer = share_timers_[resource];
+    loop_.cancel(timer);
+    timer = until == time_point::max()
+                ? 0
+                : loop_.at(until, [this, resource, later] { apply_share(resource, later); });
 }
 
-void front::set_probe_bytes_share(std::string_view service, double bytes_per_second)
+void front::apply_share(std::string_view resource, double amount)
 {
-    if (service_state* state = service_named(service); state != nullptr) {
-        state->probe_bytes_share_ = bytes_per_second;
-        apply_probe_share(*state);
+    constexpr std::string_view probes = "probes/";
+    constexpr std::string_view probe_bytes = "probe_bytes/";
+    service_state* service = nullptr;
+    if (resource.substr(0, probes.size()) == probes) {
+        service = service_named(resource.substr(probes.size()));
+        if (service != nullptr) {
+            service->probes_share_ = amount;
+        }
+    }
+    else if (resource.substr(0, probe_bytes.size()) == probe_bytes) {
+        service = service_named(resource.substr(probe_bytes.size()));
+        if (service != nullptr) {
+            service->probe_bytes_share_ = amount;
+        }
+    }
+    if (service != nullptr) {
+        apply_probe_share(*service);
     }
 }
 
@@ -397,6 +413,9 @@
 {
     const time_point now = loop_.now();
     metrics_.caller_connections_.Set(static_cast<double>(callers_.size()));
+    if (events_.on_tick_) {
+        events_.on_tick_();
+    }
     for (auto& service : services_) {
         for (auto& [index, connections] : service->targets_) {
             connections.pool_->close_aged(now);
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -46,6 +46,7 @@
     std::function<void()> on_stopped_; // the last caller has gone
     // Starts a call on the object API; its answer is posted back. None: there is no object API.
     std::function<void(platform::object_call)> on_object_call_;
+    std::function<void()> on_tick_;          // once a second
     telemetry::span_queue* spans_ = nullptr; // none: spans are not kept
 };
 
@@ -71,8 +72,9 @@
     // Configuration, targets and suspicions, as the control plane learns them.
     void set_lists(const plans::lists& lists);
     void set_targets(std::string_view service, std::vector<routing::target_info> targets);
-    void set_probe_share(std::string_view service, double probes_per_second);
-    void set_probe_bytes_share(std::string_view service, double bytes_per_second);
+    // This host's part of "probes/SERVICE" or "probe_bytes/SERVICE": `amount` a second until
+    // `until`, then `later`.
+    void set_share(const std::string& resource, double amount, time_point until, double later);
     void merge_suspicion(const peer::fact& suspicion);
 
     // Stops gracefully: accepts for the balancer's lag, answers with Connection: close, then ends
@@ -119,6 +121,7 @@
     void tick();
     void probe_targets();
     void probe(service_state& service, routing::target_index target);
+    void apply_share(std::string_view resource, double amount);
     void apply_probe_share(service_state& service);
     void publish(const pool_counters& counted);
     void end_idle_callers();
@@ -136,6 +139,7 @@
     std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> callers_;
     std::string request_id_prefix_;
     std::uint64_t last_request_ = 0;
+    std::unordered_map<std::string, timer_id> share_timers_; // when a share changes, by resource
     std::unordered_map<std::uint64_t, proxied_call*> tickets_;
     std::uint64_t last_ticket_ = 0;
     std::unordered_map<probe_exchange*, std::unique_ptr<probe_exchange>> probes_;
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -349,7 +349,7 @@
     follow_claim(dispatch::on_reply(*claim_, reply, front_.loop().now()));
 }
 
-void proxied_call::follow_claim(dispatch::claim_action action)
+void proxied_call::follow_claim(const dispatch::claim_action& action)
 {
     switch (action.kind_) {
     case dispatch::claim_action_kind::submit:
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -93,7 +93,7 @@
     void dispatch_now();
     bool needs_claim() const;
     void begin_claim();
-    void follow_claim(dispatch::claim_action action);
+    void follow_claim(const dispatch::claim_action& action);
     void release_claim();
     void execute(const dispatch::actions& todo);
     void open_attempt(dispatch::attempt_id id);
