Hedge only while the service has capacity

Cause: with 94 % of the slots used, hedges lengthened the queues they were to avoid. Change: no hedge while more than 1.5 calls a slot are in progress, by in_use, which admission can be told too.

--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// Calls per slot above which a hedge would only add to queues.
+constexpr double hedge_in_use_max = 1.5;
 constexpr double hedge_quantile = 0.9;
 constexpr double latency_weight = 0.2;
 constexpr double mean_weight = 0.01; // of one report in a mean over all targets
@@ -207,12 +209,27 @@
 
 std::optional<duration> hedge_after(const service_view& view, time_point /*now*/)
 {
-    if (!view.hedge_ || !has_extra(view.retries_, hedge_reserve)) {
+    const bool is_short_of_capacity = in_use(view) > hedge_in_use_max;
+    if (!view.hedge_ || is_short_of_capacity || !has_extra(view.retries_, hedge_reserve)) {
         return std::nullopt;
     }
     return quantile(view.latencies_, hedge_quantile);
 }
 
+double in_use(const service_view& view)
+{
+    double own = 0;
+    double targets = 0;
+    for (const auto& target : view.targets_) {
+        own += target.in_flight_;
+        targets += target.listed_ ? 1 : 0;
+    }
+    if (targets == 0 || view.slots_per_target_ == 0) {
+        return 0;
+    }
+    return (own / targets + view.mean_foreign_) / view.slots_per_target_;
+}
+
 bool take_retry(service_view& view, time_point /*now*/)
 {
     return take_extra(view.retries_, 0);
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -73,9 +73,14 @@
 void probe_ended(service_view&, target_index, std::optional<load_report>, time_point now);
 
 // How long a repeatable request waits before a second attempt starts beside the first. None when
-// hedging is off, too little is known, or the budget is spent. Call take_hedge when it starts.
+// hedging is off, too little is known, the service is short of capacity, or the budget is spent.
+// Call take_hedge when it starts.
 std::optional<duration> hedge_after(const service_view&, time_point now);
 
+// Calls in progress per slot of the service, of all hosts, as far as it is known; above 1 calls
+// wait. For admission's set_load. Zero when there is no target.
+double in_use(const service_view&);
+
 // Takes one extra attempt from the budget, a fraction of first attempts; false when it is spent.
 // A hedge leaves a reserve for retries.
 bool take_retry(service_view&, time_point now);
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -149,6 +149,15 @@
     }
     CHECK(hedge_after(view_, now_).value() >= milliseconds{40});
     CHECK(hedge_after(view_, now_).value() <= milliseconds{48});
+    for (int time = 0; time < 500; ++time) {
+        hear(0, 6);
+    }
+    CHECK_FALSE(hedge_after(view_, now_).has_value()); // three calls a slot
+    CHECK(in_use(view_) > 2.5);
+    for (int time = 0; time < 500; ++time) {
+        hear(0, 0);
+    }
+    CHECK(hedge_after(view_, now_).has_value());
     while (take_hedge(view_, now_)) {
     }
     CHECK_FALSE(hedge_after(view_, now_).has_value());
