--- a/src/cli/lists_main.cpp
+++ b/src/cli/lists_main.cpp
@@ -3,9 +3,10 @@
 #include "base/file.hpp"
 #include "cli/command.hpp"
 #include "cli/lists_commands.hpp"
+#include "cli/settings_flag.hpp"
 #include "platform/http_host_list_client.hpp"
 #include "platform/http_object_client.hpp"
-#include "settings/parse.hpp"
+#include "settings/settings.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -19,7 +20,6 @@
 #include <thread>
 #include <vector>
 
-DEFINE_string(settings, "", "file of the settings");
 DEFINE_string(out, "", "file to write the lists to");
 DEFINE_bool(dry_run, false, "decide and say what would happen, but write nothing");
 DEFINE_int32(wait, 0, "seconds to wait until all hosts hold the lists");
@@ -47,20 +47,12 @@
 // The settings that --settings names, with a platform in them.
 std::optional<settings::settings> load_settings(std::ostream& err)
 {
-    if (FLAGS_settings.empty()) {
-        err << "--settings: is missing; name the file of the settings\n";
+    auto loaded = load_flagged_settings(err);
+    if (loaded && (loaded->platform_.object_api_.empty() || loaded->platform_.host_list_.empty())) {
+        err << "settings: /platform: names no object API or no host list; add both\n";
         return std::nullopt;
     }
-    auto loaded = settings::load(FLAGS_settings);
-    if (!loaded) {
-        print_faults(loaded.error(), err);
-        return std::nullopt;
-    }
-    if (loaded->platform_.object_api_.empty() || loaded->platform_.host_list_.empty()) {
-        err << FLAGS_settings << "#/platform: names no object API or no host list; add both\n";
-        return std::nullopt;
-    }
-    return std::move(*loaded);
+    return loaded;
 }
 
 int with_platform(const settings::settings& given, const platform_command& command)
