Divide large services among the hosts

Cause: at 1,000 targets a host would keep connections to, probe and weigh every one. Change: above 60 targets each is used by the hosts that rank first for it by rendezvous hashing, at least three, so that every target is covered; with no eligible target in its subset a host uses all. set_hosts tells the hosts; until then all targets are used. Conclusion: state per host grows with targets over hosts; the list itself is still kept whole.

--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -2,6 +2,7 @@
 
 #include "routing/ejection.hpp"
 #include "routing/selection.hpp"
+#include "routing/subset.hpp"
 
 #include <fmt/format.h>
 
@@ -26,10 +27,19 @@
     return std::find(exclude.begin(), exclude.end(), index) == exclude.end();
 }
 
+// From the host's subset, or from the whole list when none of the subset is eligible.
 std::vector<target_index> eligible_targets(const service_view& view,
                                            std::span<const target_index> exclude)
 {
     std::vector<target_index> eligible;
+    for (const target_index index : view.used_) {
+        if (is_eligible(view.targets_[index], exclude, index)) {
+            eligible.push_back(index);
+        }
+    }
+    if (!eligible.empty()) {
+        return eligible;
+    }
     for (target_index index = 0; index < view.targets_.size(); ++index) {
         if (is_eligible(view.targets_[index], exclude, index)) {
             eligible.push_back(index);
@@ -38,9 +48,29 @@
     return eligible;
 }
 
+std::string key_of(const settings::endpoint& address)
+{
+    return fmt::format("{}:{}", address.ip_, address.port_);
+}
+
+void update_subset(service_view& view)
+{
+    const auto listed = static_cast<std::size_t>(std::count_if(
+        view.targets_.begin(), view.targets_.end(), [](const auto& one) { return one.listed_; }));
+    const std::size_t count = hosts_for_each_target(view.hosts_.size(), listed);
+    view.used_.clear();
+    for (target_index index = 0; index < view.targets_.size(); ++index) {
+        const target_state& target = view.targets_[index];
+        const std::string key = key_of(target.info_.address_);
+        if (target.listed_ && uses_target(view.own_id_, view.hosts_, key, count)) {
+            view.used_.push_back(index);
+        }
+    }
+}
+
 target_index index_of(service_view& view, const target_info& info, time_point now)
 {
-    std::string key = fmt::format("{}:{}", info.address_.ip_, info.address_.port_);
+    std::string key = key_of(info.address_);
     const auto next = static_cast<target_index>(view.targets_.size());
     const auto [place, added] = view.by_address_.try_emplace(std::move(key), next);
     if (added) {
@@ -134,6 +164,14 @@
         target.listed_ = true;
     }
     view.listed_once_ = true;
+    update_subset(view);
+}
+
+void set_hosts(service_view& view, std::string_view own_id, std::span<const std::string> hosts)
+{
+    view.own_id_ = own_id;
+    view.hosts_.assign(hosts.begin(), hosts.end());
+    update_subset(view);
 }
 
 std::optional<target_index> choose(service_view& view, std::span<const target_index> exclude,
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -33,6 +33,9 @@
     bool hedge_ = true;
     bool listed_once_ = false;
     std::vector<target_state> targets_;
+    std::vector<target_index> used_; // listed targets in this host's subset, ascending
+    std::string own_id_;             // of this host; empty: no subsets
+    std::vector<std::string> hosts_; // ids of all entry hosts
     std::map<std::string, target_index, std::less<>> by_address_; // "ip:port"
     std::size_t next_in_turn_ = 0;                                // round robin
     report_pool reports_;                                         // hot-cold
@@ -51,6 +54,10 @@
 // incarnation at a known address is a new server: it starts slowly and inherits no suspicion.
 void update_targets(service_view&, std::span<const target_info>, time_point now);
 
+// Tells the ids of all entry hosts as far as they are known. Large services are then divided among
+// them; see subset.hpp. Until it is called a host uses all targets.
+void set_hosts(service_view&, std::string_view own_id, std::span<const std::string> hosts);
+
 // The target for the next attempt, none when there is no eligible one. Never one that is leaving or
 // draining, nor one in `exclude`.
 std::optional<target_index> choose(service_view&, std::span<const target_index> exclude,
