Keep room for new deaths of a request that was cleared often

Cause: the eighth death filled the set, and later ones were not counted, cleared or not. Change: a cleared death makes room; 16 are kept. Conclusion: bounded, and no longer blind after many clearings.

--- a/src/admission/quarantine.cpp
+++ b/src/admission/quarantine.cpp
@@ -72,11 +72,26 @@
     return quarantine.suspects_[request];
 }
 
+// False when every death kept is an open one; the request is long refused then.
+bool has_room(suspect& suspect)
+{
+    if (suspect.deaths_.size() < deaths_kept_max) {
+        return true;
+    }
+    const auto cleared = std::find_if(suspect.deaths_.begin(), suspect.deaths_.end(),
+                                      [](const auto& entry) { return entry.second.cleared_; });
+    if (cleared == suspect.deaths_.end()) {
+        return false;
+    }
+    suspect.deaths_.erase(cleared);
+    return true;
+}
+
 // Adds a crash unless it is known: a run that began after the last known crash of this target saw
 // another one.
 void add_death(suspect& suspect, std::string_view target, time_point started, time_point now)
 {
-    for (std::size_t count = 1; suspect.deaths_.size() < deaths_kept_max; ++count) {
+    for (std::size_t count = 1; has_room(suspect); ++count) {
         const auto [place, added] =
             suspect.deaths_.try_emplace(fmt::format("{}#{}", target, count), death{false, now});
         if (added || started <= place->second.heard_at_) {
@@ -137,7 +152,7 @@
 {
     const auto known = suspect.deaths_.find(heard.name_);
     if (known == suspect.deaths_.end()) {
-        if (suspect.deaths_.size() == deaths_kept_max) {
+        if (!has_room(suspect)) {
             return false;
         }
         suspect.deaths_.emplace(heard.name_, death{heard.cleared_, now});
--- a/src/admission/quarantine.hpp
+++ b/src/admission/quarantine.hpp
@@ -31,7 +31,7 @@
 
 inline constexpr std::uint32_t deaths_until_refused = 2;
 inline constexpr std::size_t suspects_max = 4096;
-inline constexpr std::size_t deaths_kept_max = 8; // for each suspect
+inline constexpr std::size_t deaths_kept_max = 16; // for each suspect; a cleared one makes room
 inline constexpr std::chrono::seconds suspicion_lifetime{120};
 inline constexpr std::chrono::seconds refusal_lifetime{600};
 
