Take a server's notice of an idle close for what it is

Cause: an entry host that is told to stop sends, after the last answer on a connection, a 408 with `Savoryscale-Outcome: not-run` and closes. The load generator counted it as bytes that belong to no request, so a download that arrived whole during a graceful stop counted as wrong.

Change: unasked bytes are a notice, and the connection closed, only if they are one whole 408 that closes and says `not-run`. Anything else between two answers is counted as wrong as before.

Tests: only_a_whole_notice_of_an_idle_close_may_come_unasked.

Conclusion: a caller on such a connection either reads the notice as the answer to a request that was not run, or sees the close.

--- a/standins/common/caller.cpp
+++ b/standins/common/caller.cpp
@@ -28,15 +28,26 @@
 {
 }
 
+bool caller::is_idle_close(std::string_view bytes)
+{
+    const auto has = [bytes](std::string_view part) {
+        return bytes.find(part) != std::string_view::npos;
+    };
+    constexpr std::string_view status = "HTTP/1.1 408 ";
+    return bytes.substr(0, status.size()) == status && has("\r\nConnection: close\r\n") &&
+           has("\r\nSavoryscale-Outcome: not-run\r\n") && has("\r\n\r\n");
+}
+
 caller::idle_state caller::inspect()
 {
-    std::array<char, 1> byte{};
+    std::array<char, 1024> bytes{};
     error_code failure;
     socket_.non_blocking(true, failure);
     const std::size_t count =
-        socket_.receive(asio::buffer(byte), asio::socket_base::message_peek, failure);
+        socket_.receive(asio::buffer(bytes), asio::socket_base::message_peek, failure);
     if (count > 0) {
-        return idle_state::surplus;
+        const bool closing = is_idle_close({bytes.data(), count});
+        return closing ? idle_state::closed : idle_state::surplus;
     }
     return failure == asio::error::would_block ? idle_state::ready : idle_state::closed;
 }
@@ -165,10 +176,12 @@
 void caller::answered()
 {
     call_end end = judge();
-    if (input_.size() > 0) {
+    const auto rest = input_.data();
+    const bool closing = is_idle_close({static_cast<const char*>(rest.data()), rest.size()});
+    if (rest.size() > 0 && !closing) {
         end = call_end::wrong; // bytes after the answer belong to no request
     }
-    if (!parser_->get().keep_alive()) {
+    if (closing || !parser_->get().keep_alive()) {
         error_code ignored;
         socket_.close(ignored);
         connected_ = false;
--- a/standins/common/caller.hpp
+++ b/standins/common/caller.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace savoryscale::standins {
 
@@ -31,6 +32,10 @@
     caller(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint host,
            const caller_settings& settings);
 
+    // Whether the bytes are a server's notice that it closes a connection without a request: a
+    // whole 408 that closes and says that nothing was run. Anything else unasked for is a fault.
+    static bool is_idle_close(std::string_view bytes);
+
     // What is true of a connection between two calls.
     enum class idle_state { ready, closed, surplus };
 
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -84,3 +84,14 @@
     traits.faults_.twice_ = 1;
     LONGS_EQUAL(10, count(run_against(traits, 10), call_end::wrong));
 }
+
+TEST(load, only_a_whole_notice_of_an_idle_close_may_come_unasked)
+{
+    const std::string notice = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n"
+                               "Savoryscale-Outcome: not-run\r\nConnection: close\r\n\r\n";
+    CHECK(caller::is_idle_close(notice));
+    CHECK(!caller::is_idle_close(notice.substr(0, notice.size() - 1)));
+    CHECK(!caller::is_idle_close("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n"));
+    CHECK(!caller::is_idle_close("HTTP/1.1 200" + notice.substr(12)));
+    CHECK(!caller::is_idle_close({}));
+}
