Keep the runs within what the platform's store takes

Cause: a host's default cap of 20 calls a second on the object API bounds commits with an Idempotency-Key; in the demo 76 of 373 commits were refused as not run, and the run under faults would have tested little else.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -25,6 +25,9 @@
 CONTROL_PORT = 24099
 TARGET_PORT = 24100
 
+# Two hosts together stay within the several hundred writes a second that the platform takes.
+STORE_CALLS_PER_SECOND = 200
+
 START_SECONDS = 10
 STOP_SECONDS = 20
 
@@ -131,7 +134,8 @@
             "listen": {"address": f"{IP}:{HOST_PORT + index}", "stop_lag_ms": 200},
             "admin": f"{IP}:{ADMIN_PORT + index}",
             "platform": {"object_api": [f"{IP}:{PLATFORM_PORT}"],
-                         "host_list": [f"{IP}:{PLATFORM_PORT}"]},
+                         "host_list": [f"{IP}:{PLATFORM_PORT}"],
+                         "calls_per_second": STORE_CALLS_PER_SECOND},
             "peer": {"address": f"{IP}:{PEER_PORT + index}", "public_key": self.public_key,
                      "secret_key": self.secret_key,
                      "seeds": [f"{IP}:{PEER_PORT + other}" for other in self.hosts
