Show conditional apply and the exchange in a program of one's own

Cause: the coordination parts are to be usable without the daemon.

Change: examples/embed.cpp applies the lists to an object in memory, once and again, and passes the result to a second host by the exchange.

--- /dev/null
+++ b/examples/embed.cpp
@@ -0,0 +1,110 @@
+// Embeds two coordination parts of the library in one program: the conditional apply of the two
+// lists, and the newest-wins exchange that carries the result to another host. Objects are kept in
+// memory and messages are handed over directly; a real program has its own store and its own
+// sockets.
+
+#include "peer/exchange.hpp"
+#include "plans/applier.hpp"
+#include "plans/configuration.hpp"
+#include "plans/edited_file.hpp"
+#include "platform/object_api.hpp"
+
+#include <fmt/format.h>
+
+#include <deque>
+
+using namespace savoryscale;
+
+namespace {
+
+constexpr std::string_view edited = R"({
+    "customers": {"savannah": "buyers"},
+    "plans": {"buyers": {"ledger": {"calls_per_second": 40, "burst_calls": 80, "concurrency": 4}}}
+})";
+
+// One object with conditional writes.
+struct memory_store {
+    platform::object object_;
+
+    platform::object_reply answer(const plans::applier_step& step)
+    {
+        const bool exists = object_.version_ > 0;
+        if (step.action_ == plans::applier_action::read) {
+            return exists ? found() : platform::object_reply{platform::call_status::not_found, {}};
+        }
+        if (step.expected_version_ != object_.version_) {
+            return {platform::call_status::conflict, {}};
+        }
+        object_ = {std::string{plans::configuration_key}, step.text_, object_.version_ + 1};
+        return found();
+    }
+
+    platform::object_reply found() const { return {platform::call_status::ok, {object_}}; }
+};
+
+// Applies the file; a second time it finds itself in force already.
+plans::apply_end apply(memory_store& store, random_source& random)
+{
+    const auto file = plans::parse_edited_file(edited, "embedded");
+    if (!file) {
+        return plans::apply_end::refused_invalid;
+    }
+    plans::applier applier = plans::make_applier(*file, {});
+    plans::applier_step step = plans::first_step(applier);
+    while (step.action_ != plans::applier_action::done) {
+        step = plans::on_reply(applier, store.answer(step), 0, random);
+    }
+    return step.report_.end_;
+}
+
+// Hands messages between two hosts until there are none left; returns how many there were.
+std::size_t settle(peer::exchange& left, peer::exchange& right, peer::exchange_actions actions,
+                   time_point now, random_source& random)
+{
+    std::deque<peer::outgoing> flying{actions.send_.begin(), actions.send_.end()};
+    std::size_t count = 0;
+    for (; !flying.empty(); ++count) {
+        const peer::outgoing next = flying.front();
+        flying.pop_front();
+        peer::exchange& to = next.peer_ == "left" ? left : right;
+        const peer::exchange_actions answer = peer::receive(to, next.message_, now, random);
+        flying.insert(flying.end(), answer.send_.begin(), answer.send_.end());
+    }
+    return count;
+}
+
+peer::exchange make_host(const std::string& id, time_point now, random_source& random)
+{
+    peer::exchange_settings settings;
+    settings.host_id_ = id;
+    return peer::make_exchange(settings, now, random);
+}
+
+} // namespace
+
+int main()
+{
+    random_source random{1};
+    memory_store store;
+    const bool applied = apply(store, random) == plans::apply_end::applied;
+    const bool again = apply(store, random) == plans::apply_end::already_in_force;
+    const auto stored = plans::parse_configuration(store.object_.value_, "store");
+    fmt::print("applied: {}, the same again already in force: {}\n", applied, again);
+    if (!applied || !again || !stored) {
+        return 1;
+    }
+
+    const time_point now = monotonic_now();
+    peer::exchange left = make_host("left", now, random);
+    peer::exchange right = make_host("right", now, random);
+    peer::link_peer(left, "right", false);
+    peer::link_peer(right, "left", false);
+    const peer::fact news{peer::fact_kind::configuration, "", stored->lists_.version_,
+                          store.object_.value_, 0};
+    const std::size_t messages =
+        settle(left, right, peer::tell(left, news, now, random), now, random);
+    const peer::fact* held = peer::find(right.table_, {peer::fact_kind::configuration, ""});
+    const bool same = held != nullptr && *held == news;
+    fmt::print("the other host holds it after {} messages: {}\n", messages, same);
+    return same ? 0 : 1;
+}
