Carry the measuring budgets by granted shares

Cause: the control task divided the probe budgets statically, whatever the demand.

Change: it keeps a share for each budget, asks a random peer when more is wanted, answers asks, and tells the request path its part with the time at which it ends.

Conclusion: demand has to be told by the request path; without it nothing is given.

--- a/src/membership/control_task.cpp
+++ b/src/membership/control_task.cpp
@@ -3,6 +3,7 @@
 #include "membership/host_view.hpp"
 #include "membership/inbox.hpp"
 #include "membership/lease.hpp"
+#include "membership/share.hpp"
 #include "membership/target_view.hpp"
 #include "peer/wire.hpp"
 #include "plans/keeper.hpp"
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -102,7 +104,7 @@
 
     void run()
     {
-        tell_shares();
+        make_shares();
         while (!task_.stopping_) {
             for (control_input& input : inbox_->wait(loop_period)) {
                 std::visit([&](auto& value) { handle(value, monotonic_now()); }, input);
@@ -128,6 +130,12 @@
         else if (const auto* suspicion = std::get_if<suspicion_raised>(&event)) {
             tell(suspicion->fact_);
         }
+        else if (const auto* demand = std::get_if<share_demand>(&event)) {
+            const auto it = shares_.find(demand->resource_);
+            if (it != shares_.end()) {
+                it->second.wanted_ = demand->wanted_;
+            }
+        }
         else if (std::holds_alternative<stopping>(event)) {
             leaving_ = true;
         }
@@ -150,6 +158,9 @@
                 last_linked_ = now;
             }
         }
+        else if (const auto* heard = std::get_if<peer::share_heard>(&event)) {
+            on_share_message(*heard, now);
+        }
     }
 
     void handle(store_answer& answer, time_point now)
@@ -267,6 +278,7 @@
         step_status(now);
         step_host_word(now);
         step_links(now);
+        step_shares(now);
         tell_targets();
         task_.counters_.hosts_seen_ = hosts_.hosts_.size();
     }
@@ -536,20 +548,64 @@
         }
     }
 
-    // Each host's part of what all may spend on measuring: the total over the most hosts there can
-    // be.
-    void tell_shares()
+    // What all hosts together may spend on measuring.
+    void make_shares()
     {
         for (const settings::service& service : settings_.services_) {
-            tell_share("probes/" + service.name_, service.probes_per_second_);
-            tell_share("probe_bytes/" + service.name_, service.probe_bytes_per_second_);
+            add_share("probes/" + service.name_, service.probes_per_second_);
+            add_share("probe_bytes/" + service.name_, service.probe_bytes_per_second_);
         }
     }
 
-    void tell_share(const std::string& resource, std::uint64_t total)
+    void add_share(const std::string& resource, std::uint64_t total)
     {
-        const std::uint64_t part = total / std::max(settings_.host_.hosts_max_, 1U);
-        callbacks_.on_share_({resource, part, part, time_point::max()});
+        // Nonces grow from one life to the next, as the time does.
+        const auto first_nonce = static_cast<std::uint64_t>(unix_ms()) << host_counter_bits;
+        shares_[resource] = make_share({resource, total, settings_.host_.hosts_max_,
+                                        timing_.share_term_, timing_.share_margin_},
+                                       first_nonce, started_);
+    }
+
+    void step_shares(time_point now)
+    {
+        for (auto& [resource, state] : shares_) {
+            if (auto wanted = ask(state, now); wanted && peers_) {
+                peers_->post(peer::send_share{"", peer::message_kind::share_ask, *wanted});
+            }
+            tell_share(state, now);
+        }
+    }
+
+    void on_share_message(const peer::share_heard& heard, time_point now)
+    {
+        const auto it = shares_.find(heard.share_.resource_);
+        if (it == shares_.end()) {
+            return;
+        }
+        if (heard.kind_ == peer::message_kind::share_grant) {
+            on_grant(it->second, heard.share_, now);
+            return;
+        }
+        if (const auto grant = on_ask(it->second, heard.peer_, heard.share_, now)) {
+            tell_share(it->second, now); // before the grant leaves
+            peers_->post(peer::send_share{heard.peer_, peer::message_kind::share_grant, *grant});
+        }
+    }
+
+    // Tells the request path when its part has changed.
+    void tell_share(const share& state, time_point now)
+    {
+        const time_point until = next_change(state, now);
+        const bool ends = until != time_point::max();
+        const std::uint64_t amount = usable(state, now);
+        const share_limit limit{state.settings_.resource_, amount,
+                                ends ? usable(state, until) : amount, until};
+        share_limit& told = told_shares_[limit.resource_];
+        if (told.resource_.empty() || told.amount_ != limit.amount_ ||
+            told.later_ != limit.later_ || told.until_ != limit.until_) {
+            told = limit;
+            callbacks_.on_share_(limit);
+        }
     }
 
     control_task& task_;
@@ -590,6 +646,9 @@
     std::uint64_t host_list_version_ = 0;
     std::vector<settings::endpoint> listed_peers_;
 
+    std::map<std::string, share> shares_; // by resource
+    std::map<std::string, share_limit> told_shares_;
+
     std::optional<std::uint64_t> status_version_; // 0: the record does not exist
     bool status_called_ = false;
     time_point next_status_;
--- a/src/membership/control_task.hpp
+++ b/src/membership/control_task.hpp
@@ -52,6 +52,8 @@
     duration lease_margin_ = std::chrono::seconds{1};
     duration lease_renew_period_ = std::chrono::seconds{3};
     duration lease_read_period_ = std::chrono::seconds{5};
+    duration share_term_ = std::chrono::seconds{10}; // see share_settings for this and the next
+    duration share_margin_ = std::chrono::seconds{1};
 };
 
 // Run on the control task's thread; they must not block, and post to the task they are for.
