Hand output to the kernel at the end of the event that made it

Cause: each write waited for another turn of the poll loop to be told that the socket is writable; four turns a call. Change: sockets with output are flushed when the callback in progress returns; the library is asked for writability only when the kernel takes no more.

--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -287,6 +287,7 @@
         event_loop* loop = reinterpret_cast<timer_hook*>(entry)->loop_;
         loop->armed_for_.reset();
         loop->timers_.run_due(loop->now());
+        loop->flush();
         loop->arm_timer();
     };
     lws_sul_schedule(context_, 0, &hook_->entry_, run, std::max<std::int64_t>(wait.count(), 1));
@@ -318,9 +319,29 @@
     return monotonic_now();
 }
 
+void event_loop::flush_later(socket& stream)
+{
+    if (!stream.flush_queued_) {
+        stream.flush_queued_ = true;
+        to_flush_.push_back(&stream);
+    }
+}
+
+// Output of one event leaves together and at once, without another wait for the kernel.
+void event_loop::flush()
+{
+    while (!to_flush_.empty()) {
+        socket* stream = to_flush_.back();
+        to_flush_.pop_back();
+        stream->flush_queued_ = false;
+        stream->handle_writable();
+    }
+}
+
 void event_loop::forget(socket* gone)
 {
     accepted_ -= gone->accepted_ ? 1 : 0;
+    std::erase(to_flush_, gone);
     sockets_.erase(gone);
 }
 
@@ -331,7 +352,9 @@
     if (loop == nullptr || loop->context_ == nullptr) {
         return 0;
     }
-    return loop->dispatch(wsi, reason, data, length);
+    const int verdict = loop->dispatch(wsi, reason, data, length);
+    loop->flush();
+    return verdict;
 }
 
 int event_loop::handle_accepted(lws* wsi)
@@ -341,6 +364,7 @@
     socket* accepted = owned.get();
     accepted->wsi_ = wsi;
     accepted->accepted_ = true;
+    accepted->connected_ = true;
     ++accepted_;
     lws_set_opaque_user_data(wsi, accepted);
     sockets_.emplace(accepted, std::move(owned));
@@ -374,12 +398,13 @@
     case LWS_CALLBACK_RAW_CONNECTED:
         lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
         target->wsi_ = wsi;
+        target->connected_ = true;
+        if (target->queued() > 0) {
+            flush_later(*target);
+        }
         if (target->handler_ != nullptr) {
             target->handler_->on_connected();
         }
-        if (target->queued() > 0) {
-            lws_callback_on_writable(wsi);
-        }
         break;
     case LWS_CALLBACK_RAW_RX:
         target->handle_data({static_cast<const char*>(data), length});
--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -94,6 +94,8 @@
 
     int dispatch(lws* wsi, int reason, void* data, std::size_t length);
     int handle_accepted(lws* wsi);
+    void flush_later(socket& stream);
+    void flush();
     void accept_waiting(listener& entry);
     void arm_timer();
     void forget(socket* gone);
@@ -102,6 +104,7 @@
     lws_vhost* client_vhost_ = nullptr;
     std::vector<std::unique_ptr<listener>> listeners_;
     std::unordered_map<socket*, std::unique_ptr<socket>> sockets_;
+    std::vector<socket*> to_flush_; // have output to hand to the kernel before the next wait
     std::size_t accepted_ = 0;
     timer_queue timers_;
     std::unique_ptr<timer_hook> hook_;
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -32,8 +32,8 @@
         return;
     }
     output_.append(bytes);
-    if (wsi_ != nullptr) {
-        lws_callback_on_writable(wsi_);
+    if (connected_ && !waits_writable_) {
+        loop_.flush_later(*this);
     }
 }
 
@@ -71,7 +71,7 @@
         linger_timer_ = 0;
         kill();
     });
-    lws_callback_on_writable(wsi_);
+    loop_.flush_later(*this);
 }
 
 // Has the library close the connection: from inside its callback by return value, otherwise soon.
@@ -98,18 +98,19 @@
 // library, which reports the socket as choked until it is gone.
 void socket::handle_writable()
 {
-    if (killed_) {
+    waits_writable_ = false;
+    if (killed_ || wsi_ == nullptr) {
         return;
     }
     while (queued() > 0) {
         if (lws_send_pipe_choked(wsi_) != 0) {
-            lws_callback_on_writable(wsi_);
+            wait_writable();
             return;
         }
         const std::size_t length = std::min(queued(), write_chunk_bytes);
         auto* bytes = reinterpret_cast<unsigned char*>(output_.data() + sent_);
         if (lws_write(wsi_, bytes, length, LWS_WRITE_RAW) < 0) {
-            want_close_ = true;
+            fail();
             return;
         }
         sent_ += length;
@@ -123,7 +124,7 @@
     sent_ = 0;
     if (finishing_) {
         if (lws_partial_buffered(wsi_) != 0) {
-            lws_callback_on_writable(wsi_);
+            wait_writable();
             return;
         }
         if (lws_is_ssl(wsi_) == 0) {
@@ -136,6 +137,19 @@
     }
 }
 
+void socket::wait_writable()
+{
+    waits_writable_ = true;
+    lws_callback_on_writable(wsi_);
+}
+
+// The connection failed under a write. Its handler hears so once the library has closed it.
+void socket::fail()
+{
+    want_close_ = true;
+    lws_set_timeout(wsi_, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
+}
+
 void socket::handle_closed()
 {
     wsi_ = nullptr;
--- a/src/http/socket.hpp
+++ b/src/http/socket.hpp
@@ -75,6 +75,8 @@
     void handle_data(std::string_view bytes);
     void handle_writable();
     void handle_closed();
+    void wait_writable();
+    void fail();
     void kill();
 
     event_loop& loop_;
@@ -85,6 +87,9 @@
     std::uint64_t bytes_written_ = 0;
     std::uint64_t linger_timer_ = 0;
     bool accepted_ = false; // by a listener of the loop
+    bool connected_ = false;
+    bool waits_writable_ = false; // the library will tell when the kernel takes more
+    bool flush_queued_ = false;   // the loop will hand the queue to the kernel
     bool reading_ = true;
     bool finishing_ = false;
     bool killed_ = false;
