Hold a target that sheds load to be full

Cause: a refusal is quick and ends at once, so a shedding target looked idle and attracted calls; a report of utilization without a count looked idle as well. Change: a refusal counts as two calls a slot of other hosts; utilization stands in for a count that is missing or lower.

--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -14,6 +14,7 @@
 
 // Calls per slot above which a hedge would only add to queues.
 constexpr double hedge_in_use_max = 1.5;
+constexpr double shed_calls_per_slot = 2;
 constexpr double hedge_quantile = 0.9;
 constexpr double latency_weight = 0.2;
 constexpr double mean_weight = 0.01; // of one report in a mean over all targets
@@ -127,10 +128,22 @@
     if (!believed) {
         return;
     }
-    const double foreign = std::max(0.0, load.requests_in_flight_ - target.in_flight_);
+    const double busy_slots = std::min(load.utilization_, 1.0) * view.slots_per_target_;
+    const double in_flight = std::max(load.requests_in_flight_, busy_slots);
+    const double foreign = std::max(0.0, in_flight - target.in_flight_);
     view.mean_foreign_ += mean_weight * (foreign - view.mean_foreign_);
-    target.load_ = heard_load{load.requests_in_flight_, foreign, now};
-    add(view.reports_, {index, load.requests_in_flight_, now, 0});
+    target.load_ = heard_load{in_flight, foreign, now};
+    add(view.reports_, {index, in_flight, now, 0});
+}
+
+// What a target that sheds load has at least, whatever it reports: as many waiting as running.
+load_report full_load(const service_view& view, const target_state& target,
+                      std::optional<load_report> reported)
+{
+    load_report load = reported.value_or(load_report{});
+    const double full = shed_calls_per_slot * view.slots_per_target_ + target.in_flight_;
+    load.requests_in_flight_ = std::max(load.requests_in_flight_, full);
+    return load;
 }
 
 } // namespace
@@ -216,7 +229,10 @@
     if (report.end_ == attempt_end::answered) {
         hear_latency(view, target, report.latency_, now);
     }
-    if (report.load_) {
+    if (report.end_ == attempt_end::shed) {
+        hear_load(view, report.target_, full_load(view, target, report.load_), true, now);
+    }
+    else if (report.load_) {
         hear_load(view, report.target_, *report.load_, report.end_ == attempt_end::answered, now);
     }
 }
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -259,6 +259,24 @@
     CHECK(chosen(50) == (std::set<target_index>{0, 1}));
 }
 
+TEST(routing, a_target_that_sheds_load_is_held_to_be_full)
+{
+    update_targets(view_, targets(2), now_);
+    hear(0, 1);
+    hear(1, 1);
+    fail(0, attempt_end::shed);
+    CHECK(chosen(50) == std::set<target_index>{1});
+}
+
+TEST(routing, utilization_stands_for_a_missing_count)
+{
+    update_targets(view_, targets(2), now_);
+    hear(0, 1);
+    attempt_started(view_, 1, now_);
+    attempt_ended(view_, {1, attempt_end::answered, milliseconds{2}, load_report{0, 1.0}}, now_);
+    CHECK(chosen(50) == std::set<target_index>{0});
+}
+
 TEST(routing, extra_attempts_stay_below_the_ratio_when_every_target_fails)
 {
     update_targets(view_, targets(3), now_);
