Say an unknown end of an apply once, and check both users' examples

Cause: an apply without an answer printed the same words on both streams; no test applied the example lists. Change: faults go to the error stream only for refusals; a test applies both examples with the services of their own settings. Tests: examples_of_both_users_apply_with_their_own_services.

--- a/src/cli/lists_commands.cpp
+++ b/src/cli/lists_commands.cpp
@@ -87,7 +87,9 @@
 int print_report(const plans::apply_report& report, bool dry_run, std::ostream& out,
                  std::ostream& err)
 {
-    print_faults(report.faults_, err);
+    if (report.end_ != plans::apply_end::unknown) {
+        print_faults(report.faults_, err); // an unknown end tells its own
+    }
     switch (report.end_) {
     case plans::apply_end::applied:
         out << fmt::format("applied{}: version {}, {} entries changed\n",
--- a/tests/plans_test.cpp
+++ b/tests/plans_test.cpp
@@ -1,9 +1,11 @@
+#include "base/file.hpp"
 #include "plans/applier.hpp"
 #include "plans/change.hpp"
 #include "plans/configuration.hpp"
 #include "plans/edited_file.hpp"
 #include "plans/keeper.hpp"
 #include "platform/object_api.hpp"
+#include "settings/parse.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -175,6 +177,22 @@
     CHECK(result.next_ == start_lists());
 }
 
+TEST(lists_file, examples_of_both_users_apply_with_their_own_services)
+{
+    for (const std::string user : {"calloway", "pernoctas"}) {
+        const auto settings = settings::load("examples/" + user + "/settings.json");
+        CHECK(settings.has_value());
+        std::vector<std::string> services;
+        for (const auto& service : settings->services_) {
+            services.push_back(service.name_);
+        }
+        const auto text = read_file("examples/" + user + "/lists.json");
+        const auto file = parse_edited_file(*text, user, services);
+        CHECK(file.has_value());
+        applied({}, *file);
+    }
+}
+
 TEST_GROUP(change_rules){};
 
 TEST(change_rules, a_rerun_is_already_in_force)
