--- a/src/plans/keeper.hpp
+++ b/src/plans/keeper.hpp
@@ -32,9 +32,9 @@
     duration backoff_max_ = std::chrono::seconds{5};
 };
 
-// How far the peers have told what they hold. When a peer tells that it is itself starting, what the
-// others told before is void, and they are to be asked again: they may hold more by now, learned from
-// that peer before it forgot (spec/configuration.pml, variant KEEP_OLD_ANSWERS).
+// How far the peers have told what they hold. When a peer tells that it is itself starting, what
+// the others told before is void, and they are to be asked again: they may hold more by now,
+// learned from that peer before it forgot (spec/configuration.pml, variant KEEP_OLD_ANSWERS).
 enum class peers_heard : std::uint8_t {
     none,
     some,
