--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -21,9 +21,10 @@
 
 namespace {
 
-constexpr control_timing quick{milliseconds{300}, milliseconds{1000}, milliseconds{100},
-                               milliseconds{100}, milliseconds{500},  milliseconds{1500},
-                               milliseconds{300}, milliseconds{300},  milliseconds{300}};
+constexpr control_timing quick{milliseconds{300},  milliseconds{1000}, milliseconds{100},
+                               milliseconds{100},  milliseconds{500},  milliseconds{1500},
+                               milliseconds{300},  milliseconds{300},  milliseconds{300},
+                               milliseconds{2000}, milliseconds{400}};
 
 const settings::endpoint target_address{"10.0.0.9", 80};
 
