Wait at a planned stop until the reader's side has taken the answer

Cause: the last socket was closed two seconds after its answer had been handed to the kernel; the process then ended while the kernel still held the tail for a slow reader, which a host that is switched off next would cut (seen in the demo). Change: a finishing socket stays while the kernel holds unacknowledged bytes, given up only after 30 s without any being taken. Test: a_graceful_stop_waits_for_a_slow_reader, 60,000 bytes to a reader with a 4 KiB buffer; it fails without the change (stopped within 2.5 s) and passes with it.

--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -3,6 +3,8 @@
 #include "http/event_loop.hpp"
 
 #include <libwebsockets.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -17,6 +19,9 @@
 // Consumed output is dropped from the front of the queue once it is this long.
 constexpr std::size_t compact_bytes = 262144;
 
+// A reader that takes nothing for this long is given up.
+constexpr duration stall_limit = std::chrono::seconds{30};
+
 } // namespace
 
 socket::socket(event_loop& loop, socket_handler* handler) : loop_{loop}, handler_{handler} {}
@@ -67,13 +72,36 @@
     }
     finishing_ = true;
     resume_reading();
-    linger_timer_ = loop_.after(linger, [this] {
-        linger_timer_ = 0;
-        kill();
-    });
+    linger_ = linger;
+    untaken_bytes_ = 0;
+    linger_timer_ = loop_.after(linger_, [this] { end_linger(); });
     loop_.flush_later(*this);
 }
 
+// Closes, unless the other side has yet to take what was sent: it may be a slow reader.
+void socket::end_linger()
+{
+    linger_timer_ = 0;
+    const std::size_t untaken = queued() + unacknowledged_bytes();
+    stalled_ = untaken == untaken_bytes_ ? stalled_ + linger_ : duration::zero();
+    untaken_bytes_ = untaken;
+    if (untaken == 0 || stalled_ >= stall_limit) {
+        kill();
+        return;
+    }
+    linger_timer_ = loop_.after(linger_, [this] { end_linger(); });
+}
+
+// Bytes that the kernel holds until the other side acknowledges them.
+std::size_t socket::unacknowledged_bytes() const
+{
+    int bytes = 0;
+    if (wsi_ == nullptr || ::ioctl(lws_get_socket_fd(wsi_), SIOCOUTQ, &bytes) != 0) {
+        return 0;
+    }
+    return static_cast<std::size_t>(bytes);
+}
+
 // Has the library close the connection: from inside its callback by return value, otherwise soon.
 void socket::kill()
 {
--- a/src/http/socket.hpp
+++ b/src/http/socket.hpp
@@ -66,7 +66,7 @@
     void close();
 
     // Sends what is queued, then ends the sending side, discards input, and closes when the other
-    // side has or after `linger`. The handler is not called any more.
+    // side has, or after `linger` once it has taken everything. The handler is not called any more.
     void finish(duration linger);
 
 private:
@@ -75,6 +75,8 @@
     void handle_data(std::string_view bytes);
     void handle_writable();
     void handle_closed();
+    void end_linger();
+    [[nodiscard]] std::size_t unacknowledged_bytes() const;
     void wait_writable();
     void fail();
     void kill();
@@ -86,7 +88,10 @@
     std::size_t sent_ = 0; // bytes of output_ that the kernel has taken
     std::uint64_t bytes_written_ = 0;
     std::uint64_t linger_timer_ = 0;
-    bool accepted_ = false; // by a listener of the loop
+    duration linger_{};
+    duration stalled_{};            // since the other side last took anything, while finishing
+    std::size_t untaken_bytes_ = 0; // when the linger timer last fired
+    bool accepted_ = false;         // by a listener of the loop
     bool connected_ = false;
     bool waits_writable_ = false; // the library will tell when the kernel takes more
     bool flush_queued_ = false;   // the loop will hand the queue to the kernel
--- a/tests/http_path_test.cpp
+++ b/tests/http_path_test.cpp
@@ -267,6 +267,24 @@
     CHECK(contains(answer, "Savoryscale-Outcome: unknown"));
 }
 
+TEST(http_path, a_graceful_stop_waits_for_a_slow_reader)
+{
+    const std::string body(60000, 'x'); // more than the reader's kernel holds
+    fake_upstream upstream{[&](script_connection& connection, int) {
+        if (!connection.read_request().empty()) {
+            connection.send(ok_answer(body));
+        }
+    }};
+    running_front host{one_service({upstream.port()})};
+    test_client reader{host.port(), 4096};
+    reader.send("GET /archive HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    host.run([](http::front& task) { task.begin_stop(); });
+    CHECK(
+        !host.stops_within(std::chrono::milliseconds{2500})); // beyond the stop lag and the linger
+    CHECK(reader.read_to_end().size() > body.size());
+    CHECK(host.stops_within(std::chrono::seconds{20}));
+}
+
 TEST(http_path, a_graceful_stop_finishes_what_is_in_progress)
 {
     std::promise<void> arrived;
--- a/tests/support/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -159,8 +159,12 @@
     }
 }
 
-test_client::test_client(std::uint16_t port) : descriptor_{::socket(AF_INET, SOCK_STREAM, 0)}
+test_client::test_client(std::uint16_t port, int receive_bytes)
+    : descriptor_{::socket(AF_INET, SOCK_STREAM, 0)}
 {
+    if (receive_bytes > 0) {
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
+    }
     const sockaddr_in address = loopback(port);
     if (::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
         throw std::runtime_error{"cannot connect"};
--- a/tests/support/fake_upstream.hpp
+++ b/tests/support/fake_upstream.hpp
@@ -64,7 +64,8 @@
 // A blocking client connection to loopback.
 class test_client {
 public:
-    explicit test_client(std::uint16_t port);
+    // `receive_bytes`: of the kernel's receive buffer; 0 leaves it as it is.
+    explicit test_client(std::uint16_t port, int receive_bytes = 0);
     ~test_client();
     test_client(const test_client&) = delete;
     test_client& operator=(const test_client&) = delete;
--- a/tests/support/running_front.hpp
+++ b/tests/support/running_front.hpp
@@ -91,6 +91,16 @@
 
     [[nodiscard]] std::uint16_t port() const { return port_; }
     [[nodiscard]] bool stopped() const { return stopped_; }
+
+    // Waits for the graceful stop to end, so long at most; whether it has.
+    bool stops_within(std::chrono::milliseconds time)
+    {
+        const auto due = std::chrono::steady_clock::now() + time;
+        while (!stopped_ && std::chrono::steady_clock::now() < due) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{5});
+        }
+        return stopped_;
+    }
     http::front& front() { return *front_; }
 
 private:
