--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -22,6 +22,7 @@
 constexpr duration tick_interval = 1s;
 constexpr duration stop_check_interval = 10ms;
 constexpr duration probe_interval = 5ms;
+constexpr duration load_interval = 100ms; // between two looks at how full the services are
 
 // Callers that were refused without a measured wait are asked to return within this time.
 constexpr duration retry_after_min = 1s;
@@ -72,6 +73,7 @@
 {
     loop_.after(tick_interval, [this] { tick(); });
     loop_.after(probe_interval, [this] { probe_targets(); });
+    loop_.after(load_interval, [this] { tell_admission_load(); });
     return loop_.listen(config_.listen_.address_, config_.listen_.tls_,
                         [this](socket& stream) -> socket_handler* {
                             if (callers_.size() >= config_.listen_.max_connections_) {
@@ -131,6 +133,8 @@
         }
     }
     routing::update_targets(service.view_, all, loop_.now());
+    service.target_count_ = static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [](const auto& info) { return !info.leaving_; }));
     for (auto& [index, connections] : service.targets_) {
         const settings::endpoint& address = routing::address_of(service.view_, index);
         const auto info = std::find_if(all.begin(), all.end(), [&](const auto& candidate) {
@@ -185,6 +189,18 @@
                                                      service.probe_bytes_share_ / probe_bytes_max));
 }
 
+// Lets admission refuse early what a full service could not serve in time.
+void front::tell_admission_load()
+{
+    for (auto& service : services_) {
+        const double slots = static_cast<double>(service->config_->slots_per_target_) *
+                             static_cast<double>(service->target_count_);
+        admission::set_load(admission_, service->config_->name_, routing::in_use(service->view_),
+                            slots);
+    }
+    loop_.after(load_interval, [this] { tell_admission_load(); });
+}
+
 // Starts the probes that are due.
 void front::probe_targets()
 {
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -120,6 +120,7 @@
     void tell_suspicion(admission::fingerprint request);
     void tick();
     void probe_targets();
+    void tell_admission_load();
     void probe(service_state& service, routing::target_index target);
     void apply_share(std::string_view resource, double amount);
     void apply_probe_share(service_state& service);
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -577,9 +577,11 @@
                false);
     const time_point now = front_.loop().now();
     const bool suspect = admission::refused(front_.quarantined(), fingerprint_, now);
+    // What never left this host cost no upstream anything, and needs no budget.
+    const bool free = failure == dispatch::attempt_failure::unsent;
     const bool granted = !suspect && now < deadline_ &&
                          dispatch::wants_retry(state_, attempt.id_, failure) &&
-                         routing::take_retry(service_->view_, now);
+                         (free || routing::take_retry(service_->view_, now));
     if (granted) {
         front_.metrics().retries_.Increment();
     }
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -26,6 +26,7 @@
     routing::service_view view_;
     std::map<routing::target_index, target_connections> targets_;
     std::vector<routing::target_info> listed_;
+    std::size_t target_count_ = 0;   // those that leave are left out
     std::size_t connection_cap_ = 1; // of this host to each target
     double probes_share_ = 0;        // of this host, per second
     double probe_bytes_share_ = 0;   // of this host, per second
