--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -29,6 +29,10 @@
 // A connection that shows nothing of an answer for this long may have gone silent for good.
 constexpr duration silent_after = 250ms;
 
+// A caller whose request broke a connection is answered after this, so that a suspicion has reached
+// the other hosts before the caller can send the request through them.
+constexpr duration suspicion_hold = 50ms;
+
 // A request's body is held for another attempt up to this size; beyond it, it streams once.
 constexpr std::size_t replay_bytes_max = 65536;
 
@@ -403,18 +407,12 @@
             note_progress();
             break;
         case dispatch::action_kind::answer:
-            finish();
-            count_end(item.outcome_ == dispatch::outcome::not_run
-                          ? telemetry::request_end::not_run
-                          : telemetry::request_end::unknown);
-            caller_.answer_locally({item.status_, dispatch::to_string(item.outcome_),
-                                    item.outcome_ == dispatch::outcome::not_run
-                                        ? "the request was not run; it is safe to send it again"
-                                        : "the request may have run; find out before repeating it",
-                                    item.outcome_ == dispatch::outcome::not_run
-                                        ? std::optional<duration>{front_.retry_after()}
-                                        : std::nullopt,
-                                    false});
+            if (state_.broken_count_ > 0) {
+                answer_timer_ = front_.loop().after(suspicion_hold, [this, item] { answer(item); });
+            }
+            else {
+                answer(item);
+            }
             return;
         case dispatch::action_kind::break_caller:
             finish();
@@ -425,6 +423,19 @@
     }
 }
 
+// Tells the caller what dispatch decided.
+void proxied_call::answer(const dispatch::action& decided)
+{
+    const bool not_run = decided.outcome_ == dispatch::outcome::not_run;
+    finish();
+    count_end(not_run ? telemetry::request_end::not_run : telemetry::request_end::unknown);
+    caller_.answer_locally({decided.status_, dispatch::to_string(decided.outcome_),
+                            not_run ? "the request was not run; it is safe to send it again"
+                                    : "the request may have run; find out before repeating it",
+                            not_run ? std::optional<duration>{front_.retry_after()} : std::nullopt,
+                            false});
+}
+
 void proxied_call::open_attempt(dispatch::attempt_id id)
 {
     attempt_exchange& attempt = exchanges_[id];
@@ -711,6 +722,7 @@
     front_.loop().cancel(deadline_timer_);
     front_.loop().cancel(hedge_timer_);
     front_.loop().cancel(progress_timer_);
+    front_.loop().cancel(answer_timer_);
     release_claim();
     if (admitted_) {
         front_.release(customer_, *service_);
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -96,6 +96,7 @@
     void follow_claim(const dispatch::claim_action& action);
     void release_claim();
     void execute(const dispatch::actions& todo);
+    void answer(const dispatch::action& decided);
     void open_attempt(dispatch::attempt_id id);
     upstream_connection* acquire_target(attempt_exchange& attempt);
     void send_request(attempt_exchange& attempt);
@@ -133,6 +134,7 @@
     timer_id deadline_timer_ = 0;
     timer_id hedge_timer_ = 0;
     timer_id progress_timer_ = 0;
+    timer_id answer_timer_ = 0;
     bool admitted_ = false;
     bool dispatched_ = false;
     bool request_ended_ = false;
--- a/tests/http_path_test.cpp
+++ b/tests/http_path_test.cpp
@@ -5,6 +5,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <future>
+#include <memory>
+
 using namespace savoryscale;
 using namespace savoryscale::testing;
 
@@ -267,6 +270,25 @@
     CHECK(contains(answer, "Savoryscale-Outcome: unknown"));
 }
 
+TEST(http_path, a_crash_is_told_to_the_peers_before_the_caller_can_send_again)
+{
+    std::unique_ptr<fake_upstream> upstream;
+    std::promise<void> made;
+    upstream = std::make_unique<fake_upstream>([&](script_connection& connection, int) {
+        if (!connection.read_request().empty()) {
+            made.get_future().wait();
+            upstream->stop_accepting();
+        }
+    });
+    made.set_value();
+    running_front host{one_service({upstream->port()})};
+    test_client caller{host.port()};
+    caller.send(commit);
+    const std::string answer = caller.read_answer();
+    CHECK(contains(answer, "Savoryscale-Outcome: unknown"));
+    LONGS_EQUAL(1, host.suspicions());
+}
+
 TEST(http_path, a_graceful_stop_waits_for_a_slow_reader)
 {
     const std::string body(60000, 'x'); // more than the reader's kernel holds
--- a/tests/support/running_front.hpp
+++ b/tests/support/running_front.hpp
@@ -62,6 +62,7 @@
             stopped_ = true;
             loop_->stop();
         };
+        events.on_suspicion_ = [this](const peer::fact&) { ++suspicions_; };
         front_ = std::make_unique<http::front>(*loop_, config_, metrics_, 1, std::move(events));
         front_->set_lists(everyone_may_call("lots"));
         port_ = front_->open().value();
@@ -103,6 +104,9 @@
     }
     http::front& front() { return *front_; }
 
+    // Suspicions told to the peers so far.
+    [[nodiscard]] int suspicions() const { return suspicions_; }
+
 private:
     settings::settings config_;
     prometheus::Registry registry_;
@@ -110,6 +114,7 @@
     std::unique_ptr<http::event_loop> loop_;
     std::unique_ptr<http::front> front_;
     std::atomic<bool> stopped_ = false;
+    std::atomic<int> suspicions_ = 0;
     std::uint16_t port_ = 0;
     std::thread thread_;
 };
