Write without asking first whether the socket would take it

Cause: the library's question is a poll of its own before each write, two a call. Change: write until the library holds a remainder.

--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -122,8 +122,8 @@
     }
 }
 
-// Hands the kernel as much as it takes. A write that the kernel takes only in part stays with the
-// library, which reports the socket as choked until it is gone.
+// Hands the kernel as much as it takes. What the kernel does not take of a write stays with the
+// library; until that is gone nothing more is written.
 void socket::handle_writable()
 {
     waits_writable_ = false;
@@ -131,7 +131,7 @@
         return;
     }
     while (queued() > 0) {
-        if (lws_send_pipe_choked(wsi_) != 0) {
+        if (lws_partial_buffered(wsi_) != 0) {
             wait_writable();
             return;
         }
