Split the call in progress into its attempt, its claim and its refusals

Change: attempt_exchange, proxied_call_claim.cpp and refusal_answer in files of their own, behaviour as it was; the gauge is set once a second.

--- /dev/null
+++ b/src/http/attempt_exchange.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+// One attempt of a call on one target: what comes of it is passed to dispatch.
+
+#include "base/clock.hpp"
+#include "dispatch/call.hpp"
+#include "http/timer_queue.hpp"
+#include "http/upstream_exchange.hpp"
+#include "routing/target.hpp"
+#include "telemetry/span.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace savoryscale::http {
+
+class connection_pool;
+class proxied_call;
+class upstream_connection;
+
+// Owned by its call, which sets it up and ends it.
+class attempt_exchange final : public upstream_exchange {
+public:
+    void on_ready(upstream_connection& connection) override;
+    void on_answer_head(const answer_head& head) override;
+    void on_answer_body(std::string_view bytes) override;
+    void on_answer_complete() override;
+    void on_failed(exchange_failure failure) override;
+    void on_drained() override;
+
+private:
+    friend class proxied_call;
+
+    proxied_call* call_ = nullptr;
+    dispatch::attempt_id id_ = 0;
+    routing::target_index target_ = 0;
+    connection_pool* pool_ = nullptr;
+    upstream_connection* connection_ = nullptr;
+    timer_id open_timer_ = 0;
+    time_point started_{};
+    time_point sent_{};
+    duration latency_{};
+    std::optional<routing::load_report> load_;
+    std::string request_id_;
+    std::string target_name_; // for the quarantine
+    telemetry::span_id span_{};
+    time_point answered_{}; // when the answer's head came
+    int status_ = 0;
+    bool live_ = false;  // counts as in flight at its target
+    bool ready_ = false; // its connection is open
+};
+
+} // namespace savoryscale::http
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -423,6 +423,10 @@
 {
     const time_point now = loop_.now();
     metrics_.caller_connections_.Set(static_cast<double>(callers_.size()));
+    metrics_.requests_in_progress_.Set(
+        static_cast<double>(std::count_if(callers_.begin(), callers_.end(), [](const auto& entry) {
+            return entry.first->is_busy();
+        })));
     if (events_.on_tick_) {
         events_.on_tick_();
     }
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -4,7 +4,7 @@
 #include "http/connection_pool.hpp"
 #include "http/front.hpp"
 #include "http/head_text.hpp"
-#include "http/load_fields.hpp"
+#include "http/refusal_answer.hpp"
 #include "http/upstream_connection.hpp"
 #include "routing/service_view.hpp"
 
@@ -33,9 +33,6 @@
 // the other hosts before the caller can send the request through them.
 constexpr duration suspicion_hold = 50ms;
 
-// A request's body is held for another attempt up to this size; beyond it, it streams once.
-constexpr std::size_t replay_bytes_max = 65536;
-
 // The first bytes of a body tell requests apart when one is suspected of crashing targets.
 constexpr std::size_t fingerprint_bytes = 1024;
 
@@ -43,8 +40,6 @@
 constexpr std::size_t queue_high_bytes = 262144;
 
 constexpr int status_not_found = 404;
-constexpr int status_forbidden = 403;
-constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
 constexpr int status_version = 505;
 constexpr int status_server_error = 500; // and above
@@ -66,124 +61,8 @@
     return std::min<duration>(service.deadline_, std::chrono::milliseconds{asked_ms});
 }
 
-// Whether the settings declare this answer as proof that the request was not run.
-bool proves_not_run(const answer_head& head, const settings::service& service)
-{
-    const auto& statuses = service.not_run_statuses_;
-    if (std::find(statuses.begin(), statuses.end(), head.status_) != statuses.end()) {
-        return true;
-    }
-    return !service.not_run_header_.empty() && has_field(head, service.not_run_header_);
-}
-
-int status_of(admission::refusal reason)
-{
-    switch (reason) {
-    case admission::refusal::not_allowed:
-        return status_forbidden;
-    case admission::refusal::rate:
-    case admission::refusal::concurrency:
-        return status_too_many;
-    default:
-        return status_unavailable;
-    }
-}
-
-std::string_view text_of(admission::refusal reason)
-{
-    switch (reason) {
-    case admission::refusal::no_lists:
-        return "no configuration is in force on this host yet; use another";
-    case admission::refusal::not_allowed:
-        return "the customer's plan does not include this service";
-    case admission::refusal::rate:
-        return "over the plan's calls per second; wait and send again";
-    case admission::refusal::concurrency:
-        return "over the plan's calls at once; wait for one to end";
-    default:
-        return "the service is short of capacity; wait and send again";
-    }
-}
-
 } // namespace
 
-void attempt_exchange::on_ready(upstream_connection& connection)
-{
-    connection_ = &connection;
-    ready_ = true;
-    call_->send_request(*this);
-}
-
-void attempt_exchange::on_answer_head(const answer_head& head)
-{
-    proxied_call& call = *call_;
-    answered_ = call.front_.loop().now();
-    latency_ = answered_ - sent_;
-    load_ = read_load(head);
-    status_ = head.status_;
-    if (!answers_request(head, request_id_)) {
-        pool_->connection_poisoned();
-        connection_->abandon();
-        call.fail_attempt(*this, dispatch::attempt_failure::broken);
-        return;
-    }
-    if (load_ && load_->draining_) {
-        call.front_.target_is_draining(*call.service_, target_);
-    }
-    if (proves_not_run(head, *call.service_->config_)) {
-        connection_->abandon();
-        call.fail_attempt(*this, dispatch::attempt_failure::shed);
-        return;
-    }
-    const bool granted = dispatch::wants_retry_of_answer(call.state_, id_, head.status_) &&
-                         routing::take_retry(call.service_->view_, call.front_.loop().now());
-    const dispatch::actions todo = dispatch::answer_begun(call.state_, id_, granted);
-    if (granted) {
-        call.front_.metrics().retries_.Increment();
-    }
-    else {
-        call.caller_.begin_answer(head);
-    }
-    call.execute(todo);
-}
-
-void attempt_exchange::on_answer_body(std::string_view bytes)
-{
-    call_->note_progress();
-    call_->caller_.answer_body(bytes);
-    if (call_->caller_.queued() > queue_high_bytes) {
-        connection_->pause_reading();
-    }
-}
-
-void attempt_exchange::on_answer_complete()
-{
-    proxied_call& call = *call_;
-    connection_ = nullptr;
-    call.report_end(*this, routing::attempt_end::answered, true);
-    dispatch::answer_completed(call.state_);
-    call.count_end(telemetry::request_end::answered);
-    call.finish();
-    call.caller_.end_answer();
-}
-
-void attempt_exchange::on_failed(exchange_failure failure)
-{
-    connection_ = nullptr;
-    proxied_call& call = *call_;
-    const bool left = failure == exchange_failure::broken;
-    if (failure == exchange_failure::refused) {
-        call.front_.target_refused(*call.service_, target_);
-    }
-    call.fail_attempt(*this,
-                      left ? dispatch::attempt_failure::broken : dispatch::attempt_failure::unsent);
-}
-
-void attempt_exchange::on_drained()
-{
-    call_->caller_.resume_reading();
-}
-
 proxied_call::proxied_call(front& owner, caller_connection& caller, const request_head& head)
     : front_{owner}, caller_{caller}, head_{head}
 {
@@ -214,11 +93,11 @@
     customer_ = find_field(head_, front_.config().customer_header_);
     service_ = front_.find_service(head_.target_);
     if (head_.version_ != 11) {
-        refuse(status_version, "use HTTP/1.1", std::nullopt);
+        refuse({status_version, "not-run", "use HTTP/1.1", std::nullopt, false});
         return;
     }
     if (service_ == nullptr) {
-        refuse(status_not_found, "no service has this path", std::nullopt);
+        refuse({status_not_found, "not-run", "no service has this path", std::nullopt, false});
         return;
     }
     const auto verdict = front_.admit(customer_, *service_);
@@ -230,8 +109,7 @@
         front_.record(std::move(admission_span));
     }
     if (!verdict.admitted()) {
-        refuse(status_of(verdict.reason_), std::string{text_of(verdict.reason_)},
-               verdict.retry_after_);
+        refuse(refusal_answer(verdict));
         return;
     }
     admitted_ = true;
@@ -297,13 +175,6 @@
     dispatch_when_ready();
 }
 
-// What may not be repeated and carries a key is claimed in the object API before it is sent.
-bool proxied_call::needs_claim() const
-{
-    return !state_.rules_.repeatable_ && front_.has_object_api() &&
-           has_field(head_, idempotency_key_field);
-}
-
 // Starts the call once enough of the body is here to tell the request apart.
 void proxied_call::dispatch_when_ready()
 {
@@ -317,8 +188,8 @@
                                               find_field(head_, idempotency_key_field),
                                               XXH3_64bits(prefix.data(), prefix.size())});
     if (admission::refused(front_.quarantined(), fingerprint_, front_.loop().now())) {
-        refuse(status_unavailable, "targets crashed while running this request; change it",
-               std::nullopt);
+        refuse({status_unavailable, "not-run",
+                "targets crashed while running this request; change it", std::nullopt, false});
         return;
     }
     if (needs_claim()) {
@@ -334,65 +205,6 @@
     execute(dispatch::begin(state_));
 }
 
-void proxied_call::begin_claim()
-{
-    const std::string_view key = find_field(head_, idempotency_key_field);
-    const std::string_view prefix = std::string_view{body_}.substr(0, replay_bytes_max);
-    dispatch::idempotency_claim claim;
-    claim.object_key_ = dispatch::idempotency_object_key(service_->config_->name_, customer_, key);
-    claim.record_ = {front_.next_request_id(),
-                     dispatch::request_digest(head_.method_, head_.target_, prefix),
-                     front_.config().host_.id_,
-                     static_cast<std::int64_t>(telemetry::wall_clock_ns() / 1'000'000)};
-    claim.call_timeout_ = front_.config().platform_.call_timeout_;
-    claim.deadline_ = deadline_;
-    claim_ = std::move(claim);
-    follow_claim(dispatch::begin_claim(*claim_));
-}
-
-void proxied_call::on_claim_reply(const platform::object_reply& reply)
-{
-    claim_ticket_ = 0;
-    follow_claim(dispatch::on_reply(*claim_, reply, front_.loop().now()));
-}
-
-void proxied_call::follow_claim(const dispatch::claim_action& action)
-{
-    switch (action.kind_) {
-    case dispatch::claim_action_kind::submit:
-        claim_timer_ = front_.loop().after(action.wait_, [this, call = action.call_] {
-            claim_timer_ = 0;
-            claim_ticket_ = front_.submit(call, this);
-        });
-        break;
-    case dispatch::claim_action_kind::proceed:
-        dispatch_now();
-        break;
-    case dispatch::claim_action_kind::refuse:
-        finish();
-        count_end(action.may_have_run_ ? telemetry::request_end::unknown
-                                       : telemetry::request_end::not_run);
-        caller_.answer_locally({action.status_, action.may_have_run_ ? "unknown" : "not-run",
-                                action.may_have_run_
-                                    ? "a request with this key came before; find out what it did"
-                                    : "this request was not run",
-                                std::nullopt, false});
-        break;
-    }
-}
-
-// Gives the key back when nothing ran under it, so that a resend may.
-void proxied_call::release_claim()
-{
-    front_.loop().cancel(std::exchange(claim_timer_, 0));
-    front_.drop_ticket(std::exchange(claim_ticket_, 0));
-    if (claim_ && !dispatch::may_have_run(state_)) {
-        if (auto call = dispatch::release(*claim_)) {
-            front_.submit(std::move(*call), nullptr);
-        }
-    }
-}
-
 void proxied_call::execute(const dispatch::actions& todo)
 {
     for (const dispatch::action& item : todo) {
@@ -648,8 +460,8 @@
     deadline_timer_ = 0;
     deadline_reached_ = true;
     if (!dispatched_) {
-        refuse(status_unavailable, "the request did not arrive whole within its deadline",
-               std::nullopt);
+        refuse({status_unavailable, "not-run",
+                "the request did not arrive whole within its deadline", std::nullopt, false});
         return;
     }
     execute(dispatch::deadline_passed(state_));
@@ -699,11 +511,11 @@
     caller_.break_off();
 }
 
-void proxied_call::refuse(int status, std::string text, std::optional<duration> retry_after)
+void proxied_call::refuse(local_answer refusal)
 {
     finish();
     count_end(telemetry::request_end::not_run);
-    caller_.answer_locally({status, "not-run", std::move(text), retry_after, false});
+    caller_.answer_locally(std::move(refusal));
 }
 
 void proxied_call::count_end(telemetry::request_end end)
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -7,9 +7,10 @@
 #include "base/clock.hpp"
 #include "dispatch/call.hpp"
 #include "dispatch/idempotency.hpp"
+#include "http/attempt_exchange.hpp"
 #include "http/event_loop.hpp"
 #include "http/head.hpp"
-#include "http/upstream_exchange.hpp"
+#include "http/head_text.hpp"
 #include "routing/target.hpp"
 #include "telemetry/metrics.hpp"
 #include "telemetry/trace.hpp"
@@ -26,39 +27,9 @@
 class connection_pool;
 class front;
 struct service_state;
-class proxied_call;
 
-// One attempt of a call on one target.
-class attempt_exchange final : public upstream_exchange {
-public:
-    void on_ready(upstream_connection& connection) override;
-    void on_answer_head(const answer_head& head) override;
-    void on_answer_body(std::string_view bytes) override;
-    void on_answer_complete() override;
-    void on_failed(exchange_failure failure) override;
-    void on_drained() override;
-
-private:
-    friend class proxied_call;
-
-    proxied_call* call_ = nullptr;
-    dispatch::attempt_id id_ = 0;
-    routing::target_index target_ = 0;
-    connection_pool* pool_ = nullptr;
-    upstream_connection* connection_ = nullptr;
-    timer_id open_timer_ = 0;
-    time_point started_{};
-    time_point sent_{};
-    duration latency_{};
-    std::optional<routing::load_report> load_;
-    std::string request_id_;
-    std::string target_name_; // for the quarantine
-    telemetry::span_id span_{};
-    time_point answered_{}; // when the answer's head came
-    int status_ = 0;
-    bool live_ = false;  // counts as in flight at its target
-    bool ready_ = false; // its connection is open
-};
+// A request's body is held for another attempt up to this size; beyond it, it streams once.
+inline constexpr std::size_t replay_bytes_max = 65536;
 
 class proxied_call {
 public:
@@ -88,7 +59,7 @@
 private:
     friend class attempt_exchange;
 
-    void refuse(int status, std::string text, std::optional<duration> retry_after);
+    void refuse(local_answer refusal);
     void dispatch_when_ready();
     void dispatch_now();
     bool needs_claim() const;
--- /dev/null
+++ b/src/http/proxied_call_claim.cpp
@@ -0,0 +1,79 @@
+// The part of a call that claims its idempotency key before anything is sent.
+
+#include "http/caller_connection.hpp"
+#include "http/front.hpp"
+#include "http/head_text.hpp"
+#include "http/proxied_call.hpp"
+#include "http/service_state.hpp"
+
+#include <utility>
+
+namespace savoryscale::http {
+
+// What may not be repeated and carries a key is claimed in the object API before it is sent.
+bool proxied_call::needs_claim() const
+{
+    return !state_.rules_.repeatable_ && front_.has_object_api() &&
+           has_field(head_, idempotency_key_field);
+}
+
+void proxied_call::begin_claim()
+{
+    const std::string_view key = find_field(head_, idempotency_key_field);
+    const std::string_view prefix = std::string_view{body_}.substr(0, replay_bytes_max);
+    dispatch::idempotency_claim claim;
+    claim.object_key_ = dispatch::idempotency_object_key(service_->config_->name_, customer_, key);
+    claim.record_ = {front_.next_request_id(),
+                     dispatch::request_digest(head_.method_, head_.target_, prefix),
+                     front_.config().host_.id_,
+                     static_cast<std::int64_t>(telemetry::wall_clock_ns() / 1'000'000)};
+    claim.call_timeout_ = front_.config().platform_.call_timeout_;
+    claim.deadline_ = deadline_;
+    claim_ = std::move(claim);
+    follow_claim(dispatch::begin_claim(*claim_));
+}
+
+void proxied_call::on_claim_reply(const platform::object_reply& reply)
+{
+    claim_ticket_ = 0;
+    follow_claim(dispatch::on_reply(*claim_, reply, front_.loop().now()));
+}
+
+void proxied_call::follow_claim(const dispatch::claim_action& action)
+{
+    switch (action.kind_) {
+    case dispatch::claim_action_kind::submit:
+        claim_timer_ = front_.loop().after(action.wait_, [this, call = action.call_] {
+            claim_timer_ = 0;
+            claim_ticket_ = front_.submit(call, this);
+        });
+        break;
+    case dispatch::claim_action_kind::proceed:
+        dispatch_now();
+        break;
+    case dispatch::claim_action_kind::refuse:
+        finish();
+        count_end(action.may_have_run_ ? telemetry::request_end::unknown
+                                       : telemetry::request_end::not_run);
+        caller_.answer_locally({action.status_, action.may_have_run_ ? "unknown" : "not-run",
+                                action.may_have_run_
+                                    ? "a request with this key came before; find out what it did"
+                                    : "this request was not run",
+                                std::nullopt, false});
+        break;
+    }
+}
+
+// Gives the key back when nothing ran under it, so that a resend may.
+void proxied_call::release_claim()
+{
+    front_.loop().cancel(std::exchange(claim_timer_, 0));
+    front_.drop_ticket(std::exchange(claim_ticket_, 0));
+    if (claim_ && !dispatch::may_have_run(state_)) {
+        if (auto call = dispatch::release(*claim_)) {
+            front_.submit(std::move(*call), nullptr);
+        }
+    }
+}
+
+} // namespace savoryscale::http
