Void peers' earlier answers when another starting peer speaks

Cause: spec/configuration.pml (variant KEEP_OLD_ANSWERS) shows that a starting host may go back to an older version when it counts what its peers told before another starting peer spoke: that peer may have passed on, and forgotten, what the host served in its earlier life. plans/keeper.hpp has the rule, but the control task counted every linked peer as heard once contend_after_ had passed since its own start.

Change: membership/start_answers notes each life of a peer whose word says that it starts. The first such word voids the answers so far: links count as heard only when contend_after_, the time in which a digest goes over them, has passed since; and the keeper gives the peers peer_grace_ anew before an answer of the object API suffices. Voiding ends 10 s after the host's own start, so that peers that crash again and again do not keep it from starting.

Conclusion: the control task follows the model's rule within 10 s of its start. A host that starts among others that start waits 2 s from the last of them, 12 s at most, where it waited 2 s from its own start.

--- a/src/membership/control_task.cpp
+++ b/src/membership/control_task.cpp
@@ -4,6 +4,7 @@
 #include "membership/inbox.hpp"
 #include "membership/lease.hpp"
 #include "membership/share.hpp"
+#include "membership/start_answers.hpp"
 #include "membership/target_view.hpp"
 #include "peer/wire.hpp"
 #include "plans/keeper.hpp"
@@ -34,7 +35,6 @@
 constexpr std::uint32_t host_list_lifetime_s = 90;
 constexpr seconds host_list_retell{30};
 constexpr milliseconds call_timeout{1000};
-constexpr unsigned host_counter_bits = 20;
 constexpr std::uint32_t store_failures_until_lost = 3;
 
 std::int64_t unix_ms()
@@ -65,10 +65,11 @@
           random_{std::random_device{}()},
           started_{monotonic_now()},
           keeper_{plans::make_keeper({}, started_, random_)},
+          answers_{make_start_answers(started_)},
           targets_{make_target_view(settings_.services_)}
     {
         hosts_.self_ = settings_.host_.id_;
-        host_version_ = static_cast<std::uint64_t>(unix_ms() / 1000) << host_counter_bits;
+        host_version_ = static_cast<std::uint64_t>(unix_ms() / 1000) << peer::host_counter_bits;
         const std::string holder =
             fmt::format("{}@{}", settings_.host_.id_, host_version_ | random_() % 1000000);
         for (std::size_t slot = 0; slot < leases_.size(); ++slot) {
@@ -211,7 +212,7 @@
             callbacks_.on_suspicion_(news);
             break;
         case peer::fact_kind::host:
-            on_host_word(news);
+            on_host_word(news, now);
             break;
         case peer::fact_kind::host_list:
             on_told_host_list(news, now);
@@ -219,7 +220,7 @@
         }
     }
 
-    void on_host_word(const peer::fact& word)
+    void on_host_word(const peer::fact& word, time_point now)
     {
         if (word.subject_ == hosts_.self_) {
             // An earlier life of this host, or its clock has stepped back: speak louder.
@@ -229,6 +230,10 @@
         }
         if (!on_host_fact(hosts_, word)) {
             ++task_.counters_.facts_refused_;
+            return;
+        }
+        if (on_peer_word(answers_, word, hosts_.hosts_[word.subject_], now)) {
+            plans::on_answers_void(keeper_, now);
         }
     }
 
@@ -317,8 +322,8 @@
         if (!settings_.peer_ || (named == 0 && host_list_known_)) {
             return plans::peers_heard::all;
         }
-        // A digest has gone over a link by then.
-        const bool settled = now - started_ >= timing_.contend_after_;
+        // A digest has gone over a link by then: the peers were asked after answers became void.
+        const bool settled = now - answers_.valid_from_ >= timing_.contend_after_;
         return !linked_.empty() && settled ? plans::peers_heard::some : plans::peers_heard::none;
     }
 
@@ -560,7 +565,7 @@
     void add_share(const std::string& resource, std::uint64_t total)
     {
         // Nonces grow from one life to the next, as the time does.
-        const auto first_nonce = static_cast<std::uint64_t>(unix_ms()) << host_counter_bits;
+        const auto first_nonce = static_cast<std::uint64_t>(unix_ms()) << peer::host_counter_bits;
         shares_[resource] = make_share({resource, total, settings_.host_.hosts_max_,
                                         timing_.share_term_, timing_.share_margin_},
                                        first_nonce, started_);
@@ -618,6 +623,7 @@
     time_point started_;
 
     plans::keeper keeper_;
+    start_answers answers_;
     target_view targets_;
     host_view hosts_;
     std::array<lease, watchers_per_data_centre> leases_;
--- a/src/peer/host_state.hpp
+++ b/src/peer/host_state.hpp
@@ -9,6 +9,9 @@
 
 namespace savoryscale::peer {
 
+// The version of a host's word is the second of its start, and a counter of this many bits.
+inline constexpr unsigned host_counter_bits = 20;
+
 struct host_state {
     std::string data_centre_;
     std::string region_;
--- a/src/plans/keeper.cpp
+++ b/src/plans/keeper.cpp
@@ -92,6 +92,7 @@
     keeper state;
     state.options_ = options;
     state.started_ = now;
+    state.asked_from_ = now;
     const auto spread = static_cast<std::uint64_t>(options.start_jitter_.count());
     state.next_read_ = now + duration{static_cast<std::int64_t>(uniform_below(random, spread + 1))};
     return state;
@@ -154,6 +155,12 @@
     state.peers_ = heard;
 }
 
+void on_answers_void(keeper& state, time_point now)
+{
+    state.peers_ = peers_heard::none;
+    state.asked_from_ = now;
+}
+
 keeper_actions set_watcher(keeper& state, bool watcher, time_point now)
 {
     if (watcher == std::exchange(state.watcher_, watcher)) {
@@ -173,7 +180,8 @@
     }
     const duration waited = now - state.started_;
     const bool all_peers = state.peers_ == peers_heard::all;
-    const bool store_and_grace = state.store_answered_ && waited >= state.options_.peer_grace_;
+    const bool store_and_grace =
+        state.store_answered_ && now - state.asked_from_ >= state.options_.peer_grace_;
     const bool peers_and_grace =
         state.peers_ == peers_heard::some && waited >= state.options_.store_grace_;
     state.ready_ = all_peers || store_and_grace || peers_and_grace;
--- a/src/plans/keeper.hpp
+++ b/src/plans/keeper.hpp
@@ -85,6 +85,7 @@
     bool store_answered_ = false;     // since the start
     peers_heard peers_ = peers_heard::none;
     time_point started_{};
+    time_point asked_from_{}; // the peers' answers count from here
     bool ready_ = false;
 };
 
@@ -107,6 +108,9 @@
 // How far peers have answered since the start; call when it changes.
 void on_peers_heard(keeper& state, peers_heard heard);
 
+// What the peers told until `now` is void; they have peer_grace_ anew. Nothing once ready.
+void on_answers_void(keeper& state, time_point now);
+
 // Whether this host is to watch the object API (it holds a watcher's lease) from now on.
 keeper_actions set_watcher(keeper& state, bool watcher, time_point now);
 
