--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -44,8 +44,9 @@
     for (const settings::service& service : config_.services_) {
         auto state = std::make_unique<service_state>();
         state->config_ = &service;
-        state->view_ =
-            routing::make_view(service, config_.host_.data_centre_, routing::policy::least_wait);
+        state->view_ = routing::make_view(
+            service, config_.host_.data_centre_,
+            routing::policy_named(service.policy_).value_or(routing::policy::least_wait));
         state->connection_cap_ =
             std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
         state->probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -1,5 +1,4 @@
 #include "settings/parse.hpp"
-#include "routing/policy.hpp"
 
 #include "base/file.hpp"
 #include "routing/policy.hpp"
@@ -291,6 +290,12 @@
              "is the address of \"listen\" too", "give it a port of its own");
     in.check(!out.peer_ || out.peer_->address_ != out.listen_.address_, "peer",
              "has the address of \"listen\" too", "give it a port of its own");
+    const bool divisible =
+        std::all_of(out.services_.begin(), out.services_.end(), [&](const service& each) {
+            return each.connections_per_target_ >= out.host_.hosts_max_;
+        });
+    in.check(divisible, "services", "has fewer connections_per_target than hosts_max",
+             "give each host at least one connection to each target, or lower hosts_max");
     in.reject_unknown();
     const json_node services{at.value_, at.child_pointer("services"), at.faults_};
     reject_equal(services, out.services_, &service::name_, "name");
