--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -88,9 +88,9 @@
     std::uint32_t probe_bytes_per_second_ = 50000; // all entry hosts together
     std::string probe_path_ = "/load";
     milliseconds cold_start_{2000};
-    double retry_ratio_ = 0.1; // extra attempts per first attempt, at most
+    double retry_ratio_ = 0.1;          // extra attempts per first attempt, at most
     std::string policy_ = "least_wait"; // how a target is chosen; see routing/policy.hpp
-    bool hedge_ = true;        // repeatable requests only
+    bool hedge_ = true;                 // repeatable requests only
 };
 
 // Where spans go.
