Say once which attempts are live, and how much may be queued

Cause: the read-through found the loop over the other live attempts three times in dispatch, the queue's bound in two files, and a parameter that read_body never used. Change: any_live takes the attempt to leave out; one constant; no parameter. Behaviour as it was.

--- a/src/dispatch/call.cpp
+++ b/src/dispatch/call.cpp
@@ -17,10 +17,11 @@
     return item.phase_ != attempt_phase::ended;
 }
 
-bool any_live(const call& state)
+// Whether any attempt but `except` is live; attempts_max excepts none.
+bool any_live(const call& state, std::size_t except)
 {
     for (std::size_t i = 0; i < state.attempt_count_; ++i) {
-        if (is_live(state.attempts_[i])) {
+        if (i != except && is_live(state.attempts_[i])) {
             return true;
         }
     }
@@ -79,10 +80,8 @@
         failure == attempt_failure::no_target) {
         return false;
     }
-    for (std::size_t i = 0; i < state.attempt_count_; ++i) {
-        if (i != id && is_live(state.attempts_[i])) {
-            return false; // the other attempt may still answer
-        }
+    if (any_live(state, id)) {
+        return false; // the other attempt may still answer
     }
     if (failure != attempt_failure::broken) {
         return true; // proved not to have run
@@ -97,12 +96,7 @@
         state.phase_ != call_phase::waiting || !has_attempt_left(state)) {
         return false;
     }
-    for (std::size_t i = 0; i < state.attempt_count_; ++i) {
-        if (i != id && is_live(state.attempts_[i])) {
-            return false;
-        }
-    }
-    return true;
+    return !any_live(state, id);
 }
 
 bool wants_hedge(const call& state)
@@ -152,7 +146,7 @@
     if (granted) {
         todo.add(open_next(state));
     }
-    else if (!any_live(state)) {
+    else if (!any_live(state, attempts_max)) {
         const bool had_target = failure == attempt_failure::broken;
         answer_locally(state, todo, had_target ? status_broken : status_no_target);
     }
--- a/src/http/attempt_exchange.cpp
+++ b/src/http/attempt_exchange.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-// Queued bytes of an answer at which reading from the target pauses.
-constexpr std::size_t queue_high_bytes = 262144;
-
 // Whether the settings declare this answer as proof that the request was not run.
 bool proves_not_run(const answer_head& head, const settings::service& service)
 {
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -183,7 +183,7 @@
             return read;
         }
     }
-    return read_body(body);
+    return read_body();
 }
 
 // Hands the head to the parser once all of it is here.
@@ -227,7 +227,7 @@
 
 // Decodes as much of the body as is here.
 template<class Head>
-result<void> message_reader<Head>::read_body(std::string& /*body*/)
+result<void> message_reader<Head>::read_body()
 {
     std::size_t used = 0;
     while (!parser_->is_done() && used < pending_.size()) {
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -53,7 +53,7 @@
 
 private:
     result<void> read_head();
-    result<void> read_body(std::string& body);
+    result<void> read_body();
 
     std::uint32_t max_header_bytes_;
     std::string pending_;
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -36,9 +36,6 @@
 // The first bytes of a body tell requests apart when one is suspected of crashing targets.
 constexpr std::size_t fingerprint_bytes = 1024;
 
-// Queued bytes at which the sending side is paused.
-constexpr std::size_t queue_high_bytes = 262144;
-
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 constexpr int status_version = 505;
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -31,6 +31,9 @@
 // A request's body is held for another attempt up to this size; beyond it, it streams once.
 inline constexpr std::size_t replay_bytes_max = 65536;
 
+// Bytes queued towards one side, caller or target, at which reading from the other pauses.
+inline constexpr std::size_t queue_high_bytes = 262144;
+
 class proxied_call {
 public:
     proxied_call(front& owner, caller_connection& caller, const request_head& head);
