--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -7,7 +7,7 @@
 #include "plans/applier.hpp"
 #include "plans/configuration.hpp"
 #include "plans/edited_file.hpp"
-#include "platform/object_api.hpp"
+#include "store/object_api.hpp"
 
 #include <fmt/format.h>
 
@@ -24,22 +24,22 @@
 
 // One object with conditional writes.
 struct memory_store {
-    platform::object object_;
+    store::object object_;
 
-    platform::object_reply answer(const plans::applier_step& step)
+    store::object_reply answer(const plans::applier_step& step)
     {
         const bool exists = object_.version_ > 0;
         if (step.action_ == plans::applier_action::read) {
-            return exists ? found() : platform::object_reply{platform::call_status::not_found, {}};
+            return exists ? found() : store::object_reply{store::call_status::not_found, {}};
         }
         if (step.expected_version_ != object_.version_) {
-            return {platform::call_status::conflict, {}};
+            return {store::call_status::conflict, {}};
         }
         object_ = {std::string{plans::configuration_key}, step.text_, object_.version_ + 1};
         return found();
     }
 
-    platform::object_reply found() const { return {platform::call_status::ok, {object_}}; }
+    store::object_reply found() const { return {store::call_status::ok, {object_}}; }
 };
 
 // Applies the file; a second time it finds itself in force already.
--- a/src/cli/entry_host.cpp
+++ b/src/cli/entry_host.cpp
@@ -1,7 +1,7 @@
 #include "cli/entry_host.hpp"
 
 #include "peer/peer_task.hpp"
-#include "platform/call_gate.hpp"
+#include "store/call_gate.hpp"
 #include "telemetry/log.hpp"
 
 #include <chrono>
@@ -60,15 +60,15 @@
         return tl::unexpected(loop.error());
     }
     loop_ = std::move(*loop);
-    platform::call_gate_options gate;
+    store::call_gate_options gate;
     gate.calls_per_second_ = config_.platform_.calls_per_second_;
     store_ =
-        std::make_unique<platform::http_object_client>(config_.platform_.object_api_, gate, seed_);
-    counted_store_ = std::make_unique<platform::counted_object_client>(
-        *store_, [this](platform::operation made, platform::call_status seen) {
+        std::make_unique<store::http_object_client>(config_.platform_.object_api_, gate, seed_);
+    counted_store_ = std::make_unique<store::counted_object_client>(
+        *store_, [this](store::operation made, store::call_status seen) {
             metrics_.store_call(made, seen).Increment();
         });
-    host_list_ = std::make_unique<platform::http_host_list_client>(config_.platform_.host_list_);
+    host_list_ = std::make_unique<store::http_host_list_client>(config_.platform_.host_list_);
     front_ = std::make_unique<http::front>(*loop_, config_, metrics_, seed_, front_events());
     const auto port = front_->open();
     if (!port) {
@@ -105,7 +105,7 @@
     http::front_events events;
     events.on_stopped_ = on_stopped_;
     events.spans_ = spans_ ? &*spans_ : nullptr;
-    events.on_object_call_ = [this](platform::object_call call) {
+    events.on_object_call_ = [this](store::object_call call) {
         counted_store_->submit(std::move(call));
     };
     events.on_target_draining_ = [this](std::string_view service, const settings::endpoint& target,
--- a/src/cli/entry_host.hpp
+++ b/src/cli/entry_host.hpp
@@ -6,10 +6,10 @@
 #include "http/event_loop.hpp"
 #include "http/front.hpp"
 #include "membership/control_task.hpp"
-#include "platform/counted_object_client.hpp"
-#include "platform/http_host_list_client.hpp"
-#include "platform/http_object_client.hpp"
 #include "settings/settings.hpp"
+#include "store/counted_object_client.hpp"
+#include "store/http_host_list_client.hpp"
+#include "store/http_object_client.hpp"
 #include "telemetry/admin_task.hpp"
 #include "telemetry/metrics.hpp"
 #include "telemetry/readiness.hpp"
@@ -64,9 +64,9 @@
     std::unique_ptr<http::event_loop> loop_;
     std::unique_ptr<http::front> front_;
     // The clients' threads post to the front, so that they end before it.
-    std::unique_ptr<platform::counted_object_client> counted_store_; // outlives the calls of store_
-    std::unique_ptr<platform::http_object_client> store_;
-    std::unique_ptr<platform::http_host_list_client> host_list_;
+    std::unique_ptr<store::counted_object_client> counted_store_; // outlives the calls of store_
+    std::unique_ptr<store::http_object_client> store_;
+    std::unique_ptr<store::http_host_list_client> host_list_;
     std::unique_ptr<membership::control_task> control_;
     std::uint64_t peer_bytes_sent_ = 0; // as last published
     std::uint64_t peer_bytes_received_ = 0;
--- a/src/cli/lists_commands.cpp
+++ b/src/cli/lists_commands.cpp
@@ -3,8 +3,8 @@
 #include "cli/command.hpp"
 #include "plans/applier.hpp"
 #include "plans/configuration.hpp"
-#include "platform/blocking_call.hpp"
-#include "platform/status_view.hpp"
+#include "store/blocking_call.hpp"
+#include "store/status_view.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -18,9 +18,9 @@
 
 namespace {
 
-using platform::call_status;
-using platform::object_call;
-using platform::operation;
+using store::call_status;
+using store::object_call;
+using store::operation;
 
 // Reads of the platform before a command gives up, and the pause between them.
 constexpr int max_reads = 5;
@@ -41,9 +41,9 @@
     }
 }
 
-platform::object_reply read(platform_access& access, operation operation, std::string_view key)
+store::object_reply read(platform_access& access, operation operation, std::string_view key)
 {
-    platform::object_reply reply;
+    store::object_reply reply;
     for (int i = 0; i < max_reads; ++i) {
         reply = call_and_wait(access.objects_,
                               {operation, std::string{key}, {}, 0, access.call_timeout_, {}});
@@ -117,23 +117,23 @@
 }
 
 // The view of the moment; nothing when the platform does not answer, or its lists do not parse.
-std::optional<platform::status_view> read_status(platform_access& access, std::ostream& err)
+std::optional<store::status_view> read_status(platform_access& access, std::ostream& err)
 {
     const auto stored = read_lists(access);
     if (!stored) {
         print_faults(stored.error(), err);
         return std::nullopt;
     }
-    const auto records = read(access, operation::list, platform::status_prefix);
+    const auto records = read(access, operation::list, store::status_prefix);
     const auto hosts = fetch_and_wait(access.hosts_, access.call_timeout_);
     if (!is_answer(records.status_) || hosts.status_ != call_status::ok) {
         err << fmt::format("{}: does not answer; run the command again later\n",
                            is_answer(records.status_) ? "host list" : "object API");
         return std::nullopt;
     }
-    std::vector<platform::status_record> parsed;
-    for (const platform::object& each : records.objects_) {
-        if (auto record = platform::parse_status_record(each.value_)) {
+    std::vector<store::status_record> parsed;
+    for (const store::object& each : records.objects_) {
+        if (auto record = store::parse_status_record(each.value_)) {
             parsed.push_back(std::move(*record));
         }
         else {
@@ -143,10 +143,10 @@
     return judge_status(stored->lists_.version_, hosts.hosts_, parsed, access.now_ms_());
 }
 
-std::string print_json(const platform::status_view& view)
+std::string print_json(const store::status_view& view)
 {
     nlohmann::json hosts = nlohmann::json::array();
-    for (const platform::host_standing& each : view.hosts_) {
+    for (const store::host_standing& each : view.hosts_) {
         hosts.push_back({{"id", each.id_},
                          {"data_centre", each.data_centre_},
                          {"held_version", each.held_version_},
@@ -158,7 +158,7 @@
     return root.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
-std::string print_text(const platform::status_view& view)
+std::string print_text(const store::status_view& view)
 {
     std::string text = view.accepted_version_ == 0
                            ? "no lists were applied yet\n"
@@ -172,7 +172,7 @@
         std::string behind;
         std::size_t end = i;
         for (; end < view.hosts_.size() && view.hosts_[end].data_centre_ == data_centre; ++end) {
-            const platform::host_standing& host = view.hosts_[end];
+            const store::host_standing& host = view.hosts_[end];
             holding += host.behind_reason_.empty() ? 1U : 0U;
             if (!host.behind_reason_.empty()) {
                 behind += fmt::format("    {} is at version {}: {}\n", host.id_, host.held_version_,
--- a/src/cli/lists_commands.hpp
+++ b/src/cli/lists_commands.hpp
@@ -11,17 +11,17 @@
 #include <functional>
 #include <iosfwd>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 class object_client;
 class host_list_client;
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
 
 namespace savoryscale::cli {
 
 // What the commands reach the platform with.
 struct platform_access {
-    platform::object_client& objects_;
-    platform::host_list_client& hosts_;
+    store::object_client& objects_;
+    store::host_list_client& hosts_;
     duration call_timeout_;
     random_source random_;
     std::function<void(duration)> sleep_;
--- a/src/cli/lists_main.cpp
+++ b/src/cli/lists_main.cpp
@@ -4,9 +4,9 @@
 #include "cli/command.hpp"
 #include "cli/lists_commands.hpp"
 #include "cli/settings_flag.hpp"
-#include "platform/http_host_list_client.hpp"
-#include "platform/http_object_client.hpp"
 #include "settings/settings.hpp"
+#include "store/http_host_list_client.hpp"
+#include "store/http_object_client.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
@@ -47,10 +47,10 @@
 int with_platform(const settings::settings& given, const platform_command& command)
 {
     std::random_device entropy;
-    platform::call_gate_options gate;
+    store::call_gate_options gate;
     gate.calls_per_second_ = given.platform_.calls_per_second_;
-    platform::http_object_client objects{given.platform_.object_api_, gate, entropy()};
-    platform::http_host_list_client hosts{given.platform_.host_list_};
+    store::http_object_client objects{given.platform_.object_api_, gate, entropy()};
+    store::http_host_list_client hosts{given.platform_.host_list_};
     platform_access access{objects,
                            hosts,
                            given.platform_.call_timeout_,
--- a/src/dispatch/idempotency.cpp
+++ b/src/dispatch/idempotency.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-using platform::call_status;
-using platform::operation;
+using store::call_status;
+using store::operation;
 
 constexpr std::uint8_t failed_calls_max = 4; // then the request is refused
 constexpr duration first_wait = std::chrono::milliseconds{10};
@@ -99,7 +99,7 @@
 }
 
 // Somebody's record stands at the key.
-claim_action judge_record(idempotency_claim& claim, const platform::object& stored)
+claim_action judge_record(idempotency_claim& claim, const store::object& stored)
 {
     const auto record = nlohmann::json::parse(stored.value_, nullptr, false);
     if (!record.is_object()) {
@@ -112,8 +112,7 @@
     return refuse(claim, same_request ? status_conflict : status_other_request, same_request);
 }
 
-claim_action on_created(idempotency_claim& claim, const platform::object_reply& reply,
-                        time_point now)
+claim_action on_created(idempotency_claim& claim, const store::object_reply& reply, time_point now)
 {
     switch (reply.status_) {
     case call_status::ok:
@@ -127,7 +126,7 @@
     }
 }
 
-claim_action on_read(idempotency_claim& claim, const platform::object_reply& reply, time_point now)
+claim_action on_read(idempotency_claim& claim, const store::object_reply& reply, time_point now)
 {
     if (reply.status_ == call_status::ok && !reply.objects_.empty()) {
         return judge_record(claim, reply.objects_.front());
@@ -156,7 +155,7 @@
     return submit(claim, claim_phase::creating, duration::zero());
 }
 
-claim_action on_reply(idempotency_claim& claim, const platform::object_reply& reply, time_point now)
+claim_action on_reply(idempotency_claim& claim, const store::object_reply& reply, time_point now)
 {
     if (claim.phase_ == claim_phase::creating) {
         return on_created(claim, reply, now);
@@ -164,12 +163,12 @@
     return on_read(claim, reply, now);
 }
 
-std::optional<platform::object_call> release(idempotency_claim& claim)
+std::optional<store::object_call> release(idempotency_claim& claim)
 {
     if (claim.held_version_ == 0) {
         return std::nullopt;
     }
-    platform::object_call call;
+    store::object_call call;
     call.operation_ = operation::remove;
     call.key_ = claim.object_key_;
     call.expected_version_ = claim.held_version_;
--- a/src/dispatch/idempotency.hpp
+++ b/src/dispatch/idempotency.hpp
@@ -8,7 +8,7 @@
 // that a resend may run.
 
 #include "base/clock.hpp"
-#include "platform/object_api.hpp"
+#include "store/object_api.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -50,10 +50,10 @@
 
 struct claim_action {
     claim_action_kind kind_ = claim_action_kind::refuse;
-    platform::object_call call_; // submit: done_ is the caller's to fill in
-    duration wait_{};            // submit
-    int status_ = 0;             // refuse: 409, 422 or 503
-    bool may_have_run_ = false;  // refuse: the outcome is unknown, rather than not run
+    store::object_call call_;   // submit: done_ is the caller's to fill in
+    duration wait_{};           // submit
+    int status_ = 0;            // refuse: 409, 422 or 503
+    bool may_have_run_ = false; // refuse: the outcome is unknown, rather than not run
 };
 
 // The object key of a claim: the key is hashed with its customer, so that customers never meet.
@@ -67,12 +67,11 @@
 claim_action begin_claim(idempotency_claim& claim);
 
 // Takes the answer to the last submitted call.
-claim_action on_reply(idempotency_claim& claim, const platform::object_reply& reply,
-                      time_point now);
+claim_action on_reply(idempotency_claim& claim, const store::object_reply& reply, time_point now);
 
 // The call that gives a claim back after its request is proved not to have run; nothing when the
 // claim is not held. Whatever becomes of the call, no request runs twice; if it is lost, the key
 // stays claimed and a resend is told 409.
-std::optional<platform::object_call> release(idempotency_claim& claim);
+std::optional<store::object_call> release(idempotency_claim& claim);
 
 } // namespace savoryscale::dispatch
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -237,13 +237,13 @@
     }
 }
 
-std::uint64_t front::submit(platform::object_call call, proxied_call* asker)
+std::uint64_t front::submit(store::object_call call, proxied_call* asker)
 {
     const std::uint64_t ticket = ++last_ticket_;
     if (asker != nullptr) {
         tickets_.emplace(ticket, asker);
     }
-    call.done_ = [this, ticket](platform::object_reply reply) {
+    call.done_ = [this, ticket](store::object_reply reply) {
         post([ticket, answer = std::move(reply)](front& task) {
             const auto found = task.tickets_.find(ticket);
             if (found != task.tickets_.end()) {
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -13,9 +13,9 @@
 #include "http/service_state.hpp"
 #include "peer/fact.hpp"
 #include "plans/lists.hpp"
-#include "platform/object_api.hpp"
 #include "routing/target.hpp"
 #include "settings/settings.hpp"
+#include "store/object_api.hpp"
 #include "telemetry/metrics.hpp"
 
 #include <cstdint>
@@ -45,7 +45,7 @@
     std::function<void(peer::fact)> on_suspicion_;
     std::function<void()> on_stopped_; // the last caller has gone
     // Starts a call on the object API; its answer is posted back. None: there is no object API.
-    std::function<void(platform::object_call)> on_object_call_;
+    std::function<void(store::object_call)> on_object_call_;
     std::function<void()> on_tick_;          // once a second
     telemetry::span_queue* spans_ = nullptr; // none: spans are not kept
 };
@@ -104,7 +104,7 @@
     void request_ended(admission::fingerprint request, std::string_view target, bool finished);
     // Submits a call on the object API for a claim. The answer comes to on_claim_reply of whoever
     // holds the ticket then; a ticket that was dropped hears nothing.
-    std::uint64_t submit(platform::object_call call, proxied_call* asker);
+    std::uint64_t submit(store::object_call call, proxied_call* asker);
     void drop_ticket(std::uint64_t ticket) { tickets_.erase(ticket); }
     [[nodiscard]] bool has_object_api() const { return events_.on_object_call_ != nullptr; }
     void record(telemetry::span finished);
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -54,7 +54,7 @@
     void on_caller_gone();
 
     // The object API's answer for the claim on this call's idempotency key.
-    void on_claim_reply(const platform::object_reply& reply);
+    void on_claim_reply(const store::object_reply& reply);
 
     // The caller's kernel took everything queued.
     void on_caller_drained();
--- a/src/http/proxied_call_claim.cpp
+++ b/src/http/proxied_call_claim.cpp
@@ -33,7 +33,7 @@
     follow_claim(dispatch::begin_claim(*claim_));
 }
 
-void proxied_call::on_claim_reply(const platform::object_reply& reply)
+void proxied_call::on_claim_reply(const store::object_reply& reply)
 {
     claim_ticket_ = 0;
     follow_claim(dispatch::on_reply(*claim_, reply, front_.loop().now()));
--- a/src/membership/control_task.cpp
+++ b/src/membership/control_task.cpp
@@ -8,9 +8,9 @@
 #include "membership/target_view.hpp"
 #include "peer/wire.hpp"
 #include "plans/keeper.hpp"
-#include "platform/host_list.hpp"
-#include "platform/object_client.hpp"
-#include "platform/status_record.hpp"
+#include "store/host_list.hpp"
+#include "store/object_client.hpp"
+#include "store/status_record.hpp"
 #include "telemetry/log.hpp"
 
 #include <fmt/format.h>
@@ -43,10 +43,10 @@
     return std::chrono::duration_cast<milliseconds>(now).count();
 }
 
-bool is_failure(platform::call_status status)
+bool is_failure(store::call_status status)
 {
-    return status == platform::call_status::not_sent || status == platform::call_status::unknown ||
-           status == platform::call_status::unavailable;
+    return status == store::call_status::not_sent || status == store::call_status::unknown ||
+           status == store::call_status::unavailable;
 }
 
 } // namespace
@@ -54,8 +54,8 @@
 // Everything that belongs to the task's thread.
 class control_task::loop {
 public:
-    loop(control_task& task, settings::settings settings, platform::object_client& store,
-         platform::host_list_client& host_list, control_callbacks callbacks,
+    loop(control_task& task, settings::settings settings, store::object_client& store,
+         store::host_list_client& host_list, control_callbacks callbacks,
          const control_timing& timing)
         : task_{task},
           settings_{std::move(settings)},
@@ -180,11 +180,11 @@
         }
     }
 
-    void handle(platform::host_list_reply& reply, time_point now)
+    void handle(store::host_list_reply& reply, time_point now)
     {
         host_list_called_ = false;
         next_host_list_ = now + timing_.host_list_period_;
-        if (reply.status_ != platform::call_status::ok || reply.hosts_.empty()) {
+        if (reply.status_ != store::call_status::ok || reply.hosts_.empty()) {
             return;
         }
         take_host_list(reply.hosts_);
@@ -260,13 +260,13 @@
         }
     }
 
-    void take_host_list(const std::vector<platform::listed_host>& hosts)
+    void take_host_list(const std::vector<store::listed_host>& hosts)
     {
         host_list_known_ = true;
         on_host_list(targets_, hosts);
         listed_peers_.clear();
-        for (const platform::listed_host& each : hosts) {
-            if (each.kind_ == platform::host_kind::entry && !each.leaving_ &&
+        for (const store::listed_host& each : hosts) {
+            if (each.kind_ == store::host_kind::entry && !each.leaving_ &&
                 each.id_ != hosts_.self_) {
                 listed_peers_.push_back(each.address_);
             }
@@ -351,7 +351,7 @@
 
     static bool writes(const lease& state)
     {
-        return state.call_ && state.call_->operation_ != platform::operation::get;
+        return state.call_ && state.call_->operation_ != store::operation::get;
     }
 
     // Watchers read the list; others only while nobody has told them one.
@@ -363,7 +363,7 @@
         }
         host_list_called_ = true;
         ++task_.counters_.host_list_calls_;
-        host_list_.fetch(call_timeout, [box = inbox_](platform::host_list_reply reply) {
+        host_list_.fetch(call_timeout, [box = inbox_](store::host_list_reply reply) {
             box->post(std::move(reply));
         });
     }
@@ -375,38 +375,38 @@
             return;
         }
         status_called_ = true;
-        next_status_ = now + platform::status_report_period;
-        const std::string key = platform::status_key(settings_.host_.data_centre_);
+        next_status_ = now + store::status_report_period;
+        const std::string key = store::status_key(settings_.host_.data_centre_);
         if (!status_version_) {
-            submit(store_purpose::status, 0, platform::operation::get, key, "", 0, call_timeout);
+            submit(store_purpose::status, 0, store::operation::get, key, "", 0, call_timeout);
             return;
         }
         submit(store_purpose::status, 0,
-               *status_version_ == 0 ? platform::operation::create : platform::operation::update,
-               key, platform::print(status_now()), *status_version_, call_timeout);
+               *status_version_ == 0 ? store::operation::create : store::operation::update, key,
+               store::print(status_now()), *status_version_, call_timeout);
     }
 
     void on_status_answer(const store_answer& answer, time_point now)
     {
         status_called_ = false;
-        if (answer.reply_.status_ == platform::call_status::ok && !answer.reply_.objects_.empty()) {
+        if (answer.reply_.status_ == store::call_status::ok && !answer.reply_.objects_.empty()) {
             status_version_ = answer.reply_.objects_.front().version_;
         }
-        else if (answer.reply_.status_ == platform::call_status::not_found) {
+        else if (answer.reply_.status_ == store::call_status::not_found) {
             status_version_ = 0;
         }
         else {
             status_version_.reset(); // read before the next write
             return;
         }
-        if (answer.operation_ == platform::operation::get) {
+        if (answer.operation_ == store::operation::get) {
             next_status_ = now;
         }
     }
 
-    platform::status_record status_now() const
+    store::status_record status_now() const
     {
-        platform::status_record record;
+        store::status_record record;
         record.data_centre_ = settings_.host_.data_centre_;
         record.reporter_ = hosts_.self_;
         record.written_ms_ = unix_ms();
@@ -493,11 +493,11 @@
         for (const plans::keeper_action& action : actions) {
             switch (action.kind_) {
             case plans::keeper_action_kind::read_store:
-                submit(store_purpose::configuration, 0, platform::operation::get, key, "", 0,
+                submit(store_purpose::configuration, 0, store::operation::get, key, "", 0,
                        action.timeout_);
                 break;
             case plans::keeper_action_kind::watch_store:
-                submit(store_purpose::configuration, 0, platform::operation::watch, key, "",
+                submit(store_purpose::configuration, 0, store::operation::watch, key, "",
                        action.above_version_, action.timeout_);
                 break;
             case plans::keeper_action_kind::adopted:
@@ -517,24 +517,24 @@
         step_host_word(now);
     }
 
-    void submit(store_purpose purpose, std::size_t slot, platform::operation operation,
+    void submit(store_purpose purpose, std::size_t slot, store::operation operation,
                 const std::string& key, const std::string& value, std::uint64_t expected,
                 duration timeout)
     {
         ++task_.counters_.store_calls_;
-        platform::object_call call;
+        store::object_call call;
         call.operation_ = operation;
         call.key_ = key;
         call.value_ = value;
         call.expected_version_ = expected;
         call.timeout_ = timeout;
-        call.done_ = [box = inbox_, purpose, slot, operation](platform::object_reply reply) {
+        call.done_ = [box = inbox_, purpose, slot, operation](store::object_reply reply) {
             box->post(store_answer{purpose, slot, operation, std::move(reply)});
         };
         store_.submit(std::move(call));
     }
 
-    void note_store_answer(platform::call_status status)
+    void note_store_answer(store::call_status status)
     {
         store_failures_ = is_failure(status) ? store_failures_ + 1 : 0;
     }
@@ -615,8 +615,8 @@
 
     control_task& task_;
     settings::settings settings_;
-    platform::object_client& store_;
-    platform::host_list_client& host_list_;
+    store::object_client& store_;
+    store::host_list_client& host_list_;
     control_callbacks callbacks_;
     control_timing timing_;
     random_source random_;
@@ -660,8 +660,8 @@
     time_point next_status_;
 };
 
-control_task::control_task(const settings::settings& settings, platform::object_client& store,
-                           platform::host_list_client& host_list, control_callbacks callbacks,
+control_task::control_task(const settings::settings& settings, store::object_client& store,
+                           store::host_list_client& host_list, control_callbacks callbacks,
                            const control_timing& timing)
     : loop_{std::make_unique<loop>(*this, settings, store, host_list, std::move(callbacks), timing)}
 {
--- a/src/membership/control_task.hpp
+++ b/src/membership/control_task.hpp
@@ -20,10 +20,10 @@
 #include <variant>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 class host_list_client;
 class object_client;
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
 
 namespace savoryscale::peer {
 struct peer_counters;
@@ -105,8 +105,8 @@
 class control_task {
 public:
     // The clients must outlive the task; calls that are under way when it ends are let go.
-    control_task(const settings::settings& settings, platform::object_client& store,
-                 platform::host_list_client& host_list, control_callbacks callbacks,
+    control_task(const settings::settings& settings, store::object_client& store,
+                 store::host_list_client& host_list, control_callbacks callbacks,
                  const control_timing& timing = {});
     control_task(const control_task&) = delete;
     control_task& operator=(const control_task&) = delete;
--- a/src/membership/inbox.hpp
+++ b/src/membership/inbox.hpp
@@ -5,8 +5,8 @@
 #include "base/mailbox.hpp"
 #include "membership/control_task.hpp"
 #include "peer/peer_task.hpp"
-#include "platform/host_list.hpp"
-#include "platform/object_api.hpp"
+#include "store/host_list.hpp"
+#include "store/object_api.hpp"
 
 #include <chrono>
 #include <condition_variable>
@@ -25,12 +25,12 @@
 struct store_answer {
     store_purpose purpose_ = store_purpose::configuration;
     std::size_t slot_ = 0;
-    platform::operation operation_ = platform::operation::get;
-    platform::object_reply reply_;
+    store::operation operation_ = store::operation::get;
+    store::object_reply reply_;
 };
 
 using control_input =
-    std::variant<control_event, peer::peer_event, store_answer, platform::host_list_reply>;
+    std::variant<control_event, peer::peer_event, store_answer, store::host_list_reply>;
 
 class inbox {
 public:
--- a/src/membership/lease.cpp
+++ b/src/membership/lease.cpp
@@ -4,8 +4,8 @@
 
 namespace savoryscale::membership {
 
-using platform::call_status;
-using platform::operation;
+using store::call_status;
+using store::operation;
 
 namespace {
 
@@ -55,7 +55,7 @@
     state.seen_holder_ = holder;
 }
 
-void on_written(lease& state, const lease_call& call, const platform::object_reply& reply,
+void on_written(lease& state, const lease_call& call, const store::object_reply& reply,
                 time_point now)
 {
     see(state, reply.objects_.front().version_, call.value_, now);
@@ -69,8 +69,7 @@
     state.next_call_ = now + state.settings_.renew_period_;
 }
 
-void on_read(lease& state, const platform::object_reply& reply, time_point now,
-             random_source& random)
+void on_read(lease& state, const store::object_reply& reply, time_point now, random_source& random)
 {
     const bool found = reply.status_ == call_status::ok;
     const std::uint64_t known = state.seen_version_;
@@ -123,8 +122,7 @@
     return begin(state, write(state, state.settings_.holder_), now);
 }
 
-void on_reply(lease& state, const platform::object_reply& reply, time_point now,
-              random_source& random)
+void on_reply(lease& state, const store::object_reply& reply, time_point now, random_source& random)
 {
     if (!state.call_) {
         return;
--- a/src/membership/lease.hpp
+++ b/src/membership/lease.hpp
@@ -9,7 +9,7 @@
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
-#include "platform/object_api.hpp"
+#include "store/object_api.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -28,7 +28,7 @@
 
 // A call to make now; pass its answer to on_reply.
 struct lease_call {
-    platform::operation operation_ = platform::operation::get; // get, create or update
+    store::operation operation_ = store::operation::get; // get, create or update
     std::string value_;
     std::uint64_t expected_version_ = 0;
 
@@ -64,7 +64,7 @@
 std::optional<lease_call> on_timer(lease& state, bool wanted, time_point now);
 
 // The answer to the call under way.
-void on_reply(lease& state, const platform::object_reply& reply, time_point now,
+void on_reply(lease& state, const store::object_reply& reply, time_point now,
               random_source& random);
 
 } // namespace savoryscale::membership
--- a/src/membership/target_view.cpp
+++ b/src/membership/target_view.cpp
@@ -44,7 +44,7 @@
     return target.draining_ && target.drain_version_ >> told_bits >= target.incarnation_;
 }
 
-void take_listed(known_target& target, const platform::listed_host& host)
+void take_listed(known_target& target, const store::listed_host& host)
 {
     if (host.incarnation_ < target.incarnation_) {
         return; // an older copy of the list
@@ -83,7 +83,7 @@
     return view;
 }
 
-void on_host_list(target_view& view, const std::vector<platform::listed_host>& hosts)
+void on_host_list(target_view& view, const std::vector<store::listed_host>& hosts)
 {
     if (hosts.empty()) {
         return;
@@ -93,8 +93,8 @@
         for (auto& [name, target] : targets) {
             target.listed_ = false;
         }
-        for (const platform::listed_host& host : hosts) {
-            if (host.kind_ == platform::host_kind::target && host.service_ == service) {
+        for (const store::listed_host& host : hosts) {
+            if (host.kind_ == store::host_kind::target && host.service_ == service) {
                 known_target& target = targets[name_of(host.address_)];
                 target.address_ = host.address_;
                 take_listed(target, host);
--- a/src/membership/target_view.hpp
+++ b/src/membership/target_view.hpp
@@ -8,9 +8,9 @@
 // lifetime, after which the target counts as new too.
 
 #include "peer/fact.hpp"
-#include "platform/host_list.hpp"
 #include "routing/target.hpp"
 #include "settings/settings.hpp"
+#include "store/host_list.hpp"
 
 #include <cstdint>
 #include <map>
@@ -49,7 +49,7 @@
 target_view make_target_view(const std::vector<settings::service>& services);
 
 // A host list was read. An empty one is taken for a fault of the list, and what is known stays.
-void on_host_list(target_view& view, const std::vector<platform::listed_host>& hosts);
+void on_host_list(target_view& view, const std::vector<store::listed_host>& hosts);
 
 // A drain fact was learned, or its lifetime has passed.
 void on_drain_fact(target_view& view, const peer::fact& drain);
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -246,10 +246,10 @@
     return value;
 }
 
-std::string encode(const std::vector<platform::listed_host>& hosts)
+std::string encode(const std::vector<store::listed_host>& hosts)
 {
     wire::HostList out;
-    for (const platform::listed_host& each : hosts) {
+    for (const store::listed_host& each : hosts) {
         wire::ListedHost& listed = *out.add_hosts();
         listed.set_id(each.id_);
         listed.set_kind(static_cast<std::uint32_t>(each.kind_));
@@ -263,19 +263,19 @@
     return out.SerializeAsString();
 }
 
-result<std::vector<platform::listed_host>> parse_host_list(std::string_view bytes)
+result<std::vector<store::listed_host>> parse_host_list(std::string_view bytes)
 {
     wire::HostList in;
     if (!parse_bounded(in, bytes) || static_cast<std::size_t>(in.hosts_size()) > max_listed_hosts) {
         return tl::unexpected{invalid("a host list that cannot be read")};
     }
-    std::vector<platform::listed_host> hosts;
+    std::vector<store::listed_host> hosts;
     for (const wire::ListedHost& each : in.hosts()) {
         if (each.kind() > 1 || each.port() > std::numeric_limits<std::uint16_t>::max()) {
             continue; // a kind of a newer release, or no address
         }
         hosts.push_back({each.id(),
-                         static_cast<platform::host_kind>(each.kind()),
+                         static_cast<store::host_kind>(each.kind()),
                          each.service(),
                          each.data_centre(),
                          {each.ip(), static_cast<std::uint16_t>(each.port())},
--- a/src/peer/wire.hpp
+++ b/src/peer/wire.hpp
@@ -6,7 +6,7 @@
 #include "base/error.hpp"
 #include "peer/host_state.hpp"
 #include "peer/message.hpp"
-#include "platform/host_list.hpp"
+#include "store/host_list.hpp"
 
 #include <cstddef>
 #include <string>
@@ -34,9 +34,9 @@
 // Parses a host's own word. Errors: invalid.
 result<host_state> parse_host_state(std::string_view bytes);
 
-std::string encode(const std::vector<platform::listed_host>& hosts);
+std::string encode(const std::vector<store::listed_host>& hosts);
 
 // Parses the platform's host list as a peer tells it. Errors: invalid.
-result<std::vector<platform::listed_host>> parse_host_list(std::string_view bytes);
+result<std::vector<store::listed_host>> parse_host_list(std::string_view bytes);
 
 } // namespace savoryscale::peer
--- a/src/plans/applier.cpp
+++ b/src/plans/applier.cpp
@@ -1,6 +1,6 @@
 #include "plans/applier.hpp"
 
-#include "platform/object_api.hpp"
+#include "store/object_api.hpp"
 
 #include <fmt/format.h>
 
@@ -11,7 +11,7 @@
 
 namespace {
 
-using platform::call_status;
+using store::call_status;
 
 // Doublings after which the backoff no longer grows.
 constexpr std::uint32_t max_backoff_doublings = 10;
@@ -127,7 +127,7 @@
     return decide(state, stored, object_version, now_ms, random);
 }
 
-applier_step on_read(applier& state, const platform::object_reply& reply, std::int64_t now_ms,
+applier_step on_read(applier& state, const store::object_reply& reply, std::int64_t now_ms,
                      random_source& random)
 {
     configuration stored;
@@ -151,7 +151,7 @@
     return decide(state, stored, object_version, now_ms, random);
 }
 
-applier_step on_write(applier& state, const platform::object_reply& reply, random_source& random)
+applier_step on_write(applier& state, const store::object_reply& reply, random_source& random)
 {
     state.phase_ = applier_phase::reading;
     switch (reply.status_) {
@@ -195,7 +195,7 @@
     return read_after({});
 }
 
-applier_step on_reply(applier& state, const platform::object_reply& reply, std::int64_t now_ms,
+applier_step on_reply(applier& state, const store::object_reply& reply, std::int64_t now_ms,
                       random_source& random)
 {
     if (state.phase_ == applier_phase::writing) {
--- a/src/plans/applier.hpp
+++ b/src/plans/applier.hpp
@@ -12,9 +12,9 @@
 #include <string>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 struct object_reply;
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
 
 namespace savoryscale::plans {
 
@@ -81,7 +81,7 @@
 applier_step first_step(const applier& state);
 
 // Takes the answer to the step's call. `now_ms` is wall clock, kept in the entries for people.
-applier_step on_reply(applier& state, const platform::object_reply& reply, std::int64_t now_ms,
+applier_step on_reply(applier& state, const store::object_reply& reply, std::int64_t now_ms,
                       random_source& random);
 
 } // namespace savoryscale::plans
--- a/src/plans/keeper.cpp
+++ b/src/plans/keeper.cpp
@@ -1,6 +1,6 @@
 #include "plans/keeper.hpp"
 
-#include "platform/object_api.hpp"
+#include "store/object_api.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -9,7 +9,7 @@
 
 namespace {
 
-using platform::call_status;
+using store::call_status;
 
 // Doublings after which the backoff no longer grows.
 constexpr std::uint32_t max_backoff_doublings = 16;
@@ -111,14 +111,14 @@
     return {start_read(state, now)};
 }
 
-keeper_actions on_store_reply(keeper& state, const platform::object_reply& reply, time_point now,
+keeper_actions on_store_reply(keeper& state, const store::object_reply& reply, time_point now,
                               random_source& random)
 {
     const keeper_call call = std::exchange(state.call_, keeper_call::none);
     keeper_actions actions;
     bool news = false;
     if (reply.status_ == call_status::ok && !reply.objects_.empty()) {
-        const platform::object& stored = reply.objects_.front();
+        const store::object& stored = reply.objects_.front();
         news = stored.version_ > state.store_version_;
         state.store_version_ = std::max(state.store_version_, stored.version_);
         if (offer(state, stored.value_)) {
--- a/src/plans/keeper.hpp
+++ b/src/plans/keeper.hpp
@@ -16,9 +16,9 @@
 #include <string_view>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 struct object_reply;
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
 
 namespace savoryscale::plans {
 
@@ -99,7 +99,7 @@
 keeper_actions on_timer(keeper& state, time_point now);
 
 // The answer to the call in progress.
-keeper_actions on_store_reply(keeper& state, const platform::object_reply& reply, time_point now,
+keeper_actions on_store_reply(keeper& state, const store::object_reply& reply, time_point now,
                               random_source& random);
 
 // A peer's configuration fact: canonical text.
--- a/src/platform/blocking_call.cpp
+++ b/src/store/blocking_call.cpp
@@ -1,9 +1,9 @@
-#include "platform/blocking_call.hpp"
+#include "store/blocking_call.hpp"
 
 #include <future>
 #include <utility>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 object_reply call_and_wait(object_client& client, object_call call)
 {
@@ -23,4 +23,4 @@
     return answer.get();
 }
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/call_gate.cpp
+++ b/src/store/call_gate.cpp
@@ -1,8 +1,8 @@
-#include "platform/call_gate.hpp"
+#include "store/call_gate.hpp"
 
 #include <algorithm>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 namespace {
 
@@ -52,4 +52,4 @@
     gate.closed_until_ = std::max(gate.closed_until_, now + wait);
 }
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/call_gate.hpp
+++ b/src/store/call_gate.hpp
@@ -9,7 +9,7 @@
 
 #include <cstdint>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 struct call_gate_options {
     double calls_per_second_ = 20; // also the burst
@@ -35,4 +35,4 @@
 // may have gone silent while new ones work.
 void note_result(call_gate& gate, bool answered, time_point now, random_source& random);
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/counted_object_client.hpp
+++ b/src/store/counted_object_client.hpp
@@ -2,12 +2,12 @@
 
 // Passes calls on to another client and reports how each ended.
 
-#include "platform/object_client.hpp"
+#include "store/object_client.hpp"
 
 #include <functional>
 #include <utility>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 class counted_object_client final : public object_client {
 public:
@@ -34,4 +34,4 @@
     count_function count_;
 };
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/host_list.hpp
+++ b/src/store/host_list.hpp
@@ -2,15 +2,15 @@
 
 // The platform's list of live and leaving hosts, as messages. The list lags.
 
-#include "platform/object_api.hpp"
 #include "settings/settings.hpp"
+#include "store/object_api.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 enum class host_kind : std::uint8_t {
     entry,  // a host of this system; its address is that of the peer exchange
@@ -49,4 +49,4 @@
     virtual void fetch(duration timeout, std::function<void(host_list_reply)> done) = 0;
 };
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/http_caller.cpp
+++ b/src/store/http_caller.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_caller.hpp"
+#include "store/http_caller.hpp"
 
 #include "base/mailbox.hpp"
 
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 namespace {
 
@@ -286,4 +286,4 @@
     task_->submit(std::move(request));
 }
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/http_caller.hpp
+++ b/src/store/http_caller.hpp
@@ -12,7 +12,7 @@
 #include <memory>
 #include <string>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 // How a request ended.
 enum class http_end : std::uint8_t {
@@ -54,4 +54,4 @@
     std::unique_ptr<task> task_;
 };
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/http_host_list_client.cpp
+++ b/src/store/http_host_list_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_host_list_client.hpp"
+#include "store/http_host_list_client.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <optional>
 #include <utility>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 namespace {
 
@@ -85,4 +85,4 @@
     caller_.submit(std::move(request));
 }
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/http_host_list_client.hpp
+++ b/src/store/http_host_list_client.hpp
@@ -3,14 +3,14 @@
 // The host list over plain HTTP and JSON: GET /v1/hosts answers 200 with {"hosts": [{"id", "kind":
 // "entry" or "target", "service", "data_centre", "ip", "port", "incarnation", "leaving"}...]}.
 
-#include "platform/host_list.hpp"
-#include "platform/http_caller.hpp"
+#include "store/host_list.hpp"
+#include "store/http_caller.hpp"
 
 #include <atomic>
 #include <cstddef>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 // Reads the answer. Anything but a whole list of the protocol is unknown; fields that are not known
 // are let pass.
@@ -29,4 +29,4 @@
     http_caller caller_; // last: its thread uses the members above
 };
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/http_object_client.cpp
+++ b/src/store/http_object_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_object_client.hpp"
+#include "store/http_object_client.hpp"
 
-#include "platform/object_wire.hpp"
+#include "store/object_wire.hpp"
 
 #include <iterator>
 #include <utility>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 http_object_client::http_object_client(std::vector<settings::endpoint> addresses,
                                        const call_gate_options& options, std::uint64_t seed)
@@ -78,4 +78,4 @@
     }
 }
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/http_object_client.hpp
+++ b/src/store/http_object_client.hpp
@@ -3,17 +3,17 @@
 // The object API over plain HTTP and JSON. Calls over the cap or within the backoff end as
 // not_sent; nothing is ever retried here.
 
-#include "platform/call_gate.hpp"
-#include "platform/http_caller.hpp"
-#include "platform/object_client.hpp"
 #include "settings/settings.hpp"
+#include "store/call_gate.hpp"
+#include "store/http_caller.hpp"
+#include "store/object_client.hpp"
 
 #include <cstddef>
 #include <mutex>
 #include <string>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 struct object_page;
 
@@ -40,4 +40,4 @@
     http_caller caller_; // last: its thread uses the members above
 };
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/object_api.hpp
+++ b/src/store/object_api.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 // One stored value. `version_` grows with each write of any object; it starts at 1.
 struct object {
@@ -54,4 +54,4 @@
     std::function<void(object_reply)> done_;
 };
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/object_client.hpp
+++ b/src/store/object_client.hpp
@@ -2,9 +2,9 @@
 
 // The narrow interface to the platform's object API. Another platform is met by another adapter.
 
-#include "platform/object_api.hpp"
+#include "store/object_api.hpp"
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 class object_client {
 public:
@@ -20,4 +20,4 @@
     virtual void submit(object_call call) = 0;
 };
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/object_wire.cpp
+++ b/src/store/object_wire.cpp
@@ -1,4 +1,4 @@
-#include "platform/object_wire.hpp"
+#include "store/object_wire.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 namespace {
 
@@ -146,4 +146,4 @@
     return escaped;
 }
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/object_wire.hpp
+++ b/src/store/object_wire.hpp
@@ -13,13 +13,13 @@
 // leaves out the value, and "next" stands only on a page that others follow. 400 and 413 are
 // refusals; 429 and 503 say that the call had no effect.
 
-#include "platform/http_caller.hpp"
-#include "platform/object_api.hpp"
+#include "store/http_caller.hpp"
+#include "store/object_api.hpp"
 
 #include <string>
 #include <string_view>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 // The request for a call, but for its address and done_. `after` is the last key of the page
 // before; lists only.
@@ -37,4 +37,4 @@
 // Escapes all bytes but letters, digits and "-._~/" for a path or a query.
 std::string escape_url(std::string_view text);
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/status_record.cpp
+++ b/src/store/status_record.cpp
@@ -1,8 +1,8 @@
-#include "platform/status_record.hpp"
+#include "store/status_record.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 namespace {
 
@@ -68,4 +68,4 @@
     }
 }
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/status_record.hpp
+++ b/src/store/status_record.hpp
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 // Keys are this prefix and the name of the data centre.
 inline constexpr std::string_view status_prefix = "status/";
@@ -49,4 +49,4 @@
 // Parses JSON text; unknown fields are let pass, so that newer reporters can be read.
 result<status_record> parse_status_record(std::string_view text);
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/status_view.cpp
+++ b/src/store/status_view.cpp
@@ -1,4 +1,4 @@
-#include "platform/status_view.hpp"
+#include "store/status_view.hpp"
 
 #include <fmt/format.h>
 
@@ -6,7 +6,7 @@
 #include <cstdlib>
 #include <tuple>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 namespace {
 
@@ -106,4 +106,4 @@
     return view;
 }
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/platform/status_view.hpp
+++ b/src/store/status_view.hpp
@@ -3,14 +3,14 @@
 // What operators are told about who holds the accepted lists, worked out from the host list and the
 // status records. A host counts as holding them only when a fresh record says so.
 
-#include "platform/host_list.hpp"
-#include "platform/status_record.hpp"
+#include "store/host_list.hpp"
+#include "store/status_record.hpp"
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace savoryscale::platform {
+namespace savoryscale::store {
 
 // One entry host. behind_reason_ is empty when it holds the accepted version.
 struct host_standing {
@@ -31,4 +31,4 @@
 status_view judge_status(std::uint64_t accepted_version, const std::vector<listed_host>& hosts,
                          const std::vector<status_record>& records, std::int64_t now_ms);
 
-} // namespace savoryscale::platform
+} // namespace savoryscale::store
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -3,8 +3,8 @@
 // The metrics of one process. Tasks get references that were looked up once, at start.
 
 #include "admission/admission.hpp"
-#include "platform/object_api.hpp"
 #include "routing/target.hpp"
+#include "store/object_api.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -48,8 +48,7 @@
     }
 };
 
-using store_status_counters =
-    counter_set<platform::call_status, platform::call_status::unavailable>;
+using store_status_counters = counter_set<store::call_status, store::call_status::unavailable>;
 
 // Every metric; all may be updated from any thread without a lookup. The registry outlives it.
 struct metrics {
@@ -70,13 +69,13 @@
 
     prometheus::Gauge& configuration_version_;
     counter_set<direction, direction::received> peer_bytes_;
-    std::array<store_status_counters, static_cast<std::size_t>(platform::operation::watch) + 1>
+    std::array<store_status_counters, static_cast<std::size_t>(store::operation::watch) + 1>
         store_calls_;
 
     prometheus::Counter& spans_exported_;
     prometheus::Counter& spans_dropped_;
 
-    prometheus::Counter& store_call(platform::operation made, platform::call_status seen) const
+    prometheus::Counter& store_call(store::operation made, store::call_status seen) const
     {
         return store_calls_[static_cast<std::size_t>(made)][seen];
     }
--- a/tests/configuration_properties_test.cpp
+++ b/tests/configuration_properties_test.cpp
@@ -2,7 +2,7 @@
 
 #include "plans/applier.hpp"
 #include "plans/keeper.hpp"
-#include "platform/object_api.hpp"
+#include "store/object_api.hpp"
 
 #include <fmt/format.h>
 #include <rapidcheck.h>
@@ -17,8 +17,8 @@
 
 using namespace savoryscale;
 using namespace savoryscale::plans;
-using platform::call_status;
-using platform::object_reply;
+using store::call_status;
+using store::object_reply;
 
 namespace {
 
--- a/tests/control_start_test.cpp
+++ b/tests/control_start_test.cpp
@@ -2,7 +2,7 @@
 #include "peer/peer_task.hpp"
 #include "peer/wire.hpp"
 #include "plans/keeper.hpp"
-#include "platform/object_api.hpp"
+#include "store/object_api.hpp"
 #include "support/control_hosts.hpp"
 
 using namespace savoryscale;
@@ -147,7 +147,7 @@
     plans::keeper state = plans::make_keeper({}, time_point{}, random);
     plans::on_peer_configuration(state, configuration_text(1));
     plans::on_timer(state, time_point{seconds{1}});
-    plans::on_store_reply(state, {platform::call_status::not_found, {}}, time_point{seconds{1}},
+    plans::on_store_reply(state, {store::call_status::not_found, {}}, time_point{seconds{1}},
                           random);
     plans::on_answers_void(state, time_point{seconds{1}});
     CHECK_FALSE(plans::is_ready(state, time_point{seconds{2}}));
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/status_record.hpp"
+#include "store/status_record.hpp"
 #include "support/control_hosts.hpp"
 
 using namespace savoryscale;
@@ -27,8 +27,7 @@
     add();
     add();
     CHECK(becomes([&] {
-        const auto record =
-            platform::parse_status_record(store_.value(platform::status_key("mobile")));
+        const auto record = store::parse_status_record(store_.value(store::status_key("mobile")));
         return record && record->hosts_.size() == 2 &&
                std::all_of(record->hosts_.begin(), record->hosts_.end(), [](const auto& host) {
                    return host.held_version_ == 1 && host.behind_reason_.empty();
@@ -90,7 +89,7 @@
     entry_host& first = add();
     entry_host& second = add(true);
     first.client_.list(
-        {{"t-1", platform::host_kind::target, "photo", "mobile", target_address, 5, true}});
+        {{"t-1", store::host_kind::target, "photo", "mobile", target_address, 5, true}});
     CHECK(becomes([&] { return first.target_leaves() && second.target_leaves(); }));
 }
 
--- a/tests/idempotency_test.cpp
+++ b/tests/idempotency_test.cpp
@@ -12,8 +12,8 @@
 using namespace std::chrono_literals;
 using dispatch::claim_action;
 using dispatch::claim_action_kind;
-using platform::call_status;
-using platform::operation;
+using store::call_status;
+using store::operation;
 
 namespace {
 
@@ -31,7 +31,7 @@
 public:
     explicit lossy_store(std::uint64_t seed) : random_{seed} {}
 
-    platform::object_reply handle(const platform::object_call& call)
+    store::object_reply handle(const store::object_call& call)
     {
         land_late_creates();
         switch (uniform_below(random_, 6)) {
@@ -53,14 +53,14 @@
 private:
     void land_late_creates()
     {
-        for (const platform::object_call& call : late_) {
+        for (const store::object_call& call : late_) {
             if (uniform_below(random_, 2) == 0) {
                 apply(call);
             }
         }
     }
 
-    platform::object_reply apply(const platform::object_call& call)
+    store::object_reply apply(const store::object_call& call)
     {
         const auto found = objects_.find(call.key_);
         const bool exists = found != objects_.end();
@@ -77,13 +77,13 @@
             return {call_status::ok, {}};
         }
         const auto now = objects_.find(call.key_);
-        return now == objects_.end() ? platform::object_reply{call_status::not_found, {}}
-                                     : platform::object_reply{call_status::ok, {now->second}};
+        return now == objects_.end() ? store::object_reply{call_status::not_found, {}}
+                                     : store::object_reply{call_status::ok, {now->second}};
     }
 
     random_source random_;
-    std::map<std::string, platform::object> objects_;
-    std::vector<platform::object_call> late_;
+    std::map<std::string, store::object> objects_;
+    std::vector<store::object_call> late_;
     std::uint64_t version_ = 0;
 };
 
@@ -99,7 +99,7 @@
         claim_action action = dispatch::begin_claim(claim_);
         for (const call_status status : statuses) {
             CHECK(action.kind_ == claim_action_kind::submit);
-            platform::object_reply reply{status, {}};
+            store::object_reply reply{status, {}};
             if (status == call_status::ok) {
                 reply.objects_.push_back({claim_.object_key_, stored, 7});
             }
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -10,11 +10,11 @@
 
 using namespace savoryscale;
 using namespace savoryscale::membership;
-using platform::call_status;
-using platform::object_reply;
-using platform::operation;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using store::call_status;
+using store::object_reply;
+using store::operation;
 
 namespace {
 
--- a/tests/lists_commands_test.cpp
+++ b/tests/lists_commands_test.cpp
@@ -1,9 +1,9 @@
 #include "cli/command.hpp"
 #include "cli/lists_commands.hpp"
-#include "platform/blocking_call.hpp"
-#include "platform/http_host_list_client.hpp"
-#include "platform/http_object_client.hpp"
-#include "platform/status_view.hpp"
+#include "store/blocking_call.hpp"
+#include "store/http_host_list_client.hpp"
+#include "store/http_object_client.hpp"
+#include "store/status_view.hpp"
 #include "support/running_platform.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -27,11 +27,11 @@
 TEST_GROUP(lists_commands)
 {
     tests::running_platform platform_{5};
-    platform::http_object_client objects_{
+    store::http_object_client objects_{
         {platform_.address()},
         {1000, std::chrono::milliseconds{1}, std::chrono::milliseconds{1}},
         5};
-    platform::http_host_list_client hosts_{{platform_.address()}};
+    store::http_host_list_client hosts_{{platform_.address()}};
     std::ostringstream out_;
     std::ostringstream err_;
     platform_access access_{objects_,         hosts_,          seconds{5},
@@ -55,11 +55,11 @@
         return text.replace(text.find(from), from.size(), to);
     }
     void report(const std::string& data_centre, std::int64_t written_ms,
-                std::vector<platform::held_report> hosts)
+                std::vector<store::held_report> hosts)
     {
-        const platform::status_record record{data_centre, "r", written_ms, std::move(hosts)};
-        call_and_wait(objects_, {platform::operation::create,
-                                 platform::status_key(data_centre),
+        const store::status_record record{data_centre, "r", written_ms, std::move(hosts)};
+        call_and_wait(objects_, {store::operation::create,
+                                 store::status_key(data_centre),
                                  print(record),
                                  0,
                                  seconds{5},
@@ -149,12 +149,12 @@
 
 TEST_GROUP(status_view)
 {
-    const std::vector<platform::listed_host> hosts_{
-        {"e1", platform::host_kind::entry, "", "m", {"127.0.0.1", 1}, 1, false}};
+    const std::vector<store::listed_host> hosts_{
+        {"e1", store::host_kind::entry, "", "m", {"127.0.0.1", 1}, 1, false}};
 
-    bool all_hold(std::int64_t written_ms, std::vector<platform::held_report> held) const
+    bool all_hold(std::int64_t written_ms, std::vector<store::held_report> held) const
     {
-        return platform::judge_status(7, hosts_, {{"m", "r", written_ms, std::move(held)}}, now_ms)
+        return store::judge_status(7, hosts_, {{"m", "r", written_ms, std::move(held)}}, now_ms)
             .all_hold_;
     }
 };
@@ -180,6 +180,6 @@
 TEST(status_view, without_lists_or_hosts_nothing_is_held)
 {
     CHECK_FALSE(
-        platform::judge_status(0, hosts_, {{"m", "r", now_ms, {{"e1", 0, ""}}}}, now_ms).all_hold_);
-    CHECK_FALSE(platform::judge_status(7, {}, {}, now_ms).all_hold_);
+        store::judge_status(0, hosts_, {{"m", "r", now_ms, {{"e1", 0, ""}}}}, now_ms).all_hold_);
+    CHECK_FALSE(store::judge_status(7, {}, {}, now_ms).all_hold_);
 }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -15,9 +15,9 @@
 
 const settings::endpoint address{"10.0.0.1", 80};
 
-platform::listed_host listed(std::uint64_t incarnation, bool leaving)
+store::listed_host listed(std::uint64_t incarnation, bool leaving)
 {
-    return {"t", platform::host_kind::target, "photo", "mobile", address, incarnation, leaving};
+    return {"t", store::host_kind::target, "photo", "mobile", address, incarnation, leaving};
 }
 
 settings::service photo(bool with_target)
@@ -146,7 +146,7 @@
     on_host_list(view, {listed(1, false)});
     on_host_list(view, {});
     LONGS_EQUAL(1, targets_of(view, "photo").size());
-    platform::listed_host other = listed(1, false);
+    store::listed_host other = listed(1, false);
     other.address_.port_ = 81;
     on_host_list(view, {other});
     LONGS_EQUAL(81, targets_of(view, "photo").front().address_.port_);
--- a/tests/metrics_test.cpp
+++ b/tests/metrics_test.cpp
@@ -24,8 +24,7 @@
     metrics_.refusals_[admission::refusal::overload].Increment(3);
     metrics_.peer_bytes_[telemetry::direction::received].Increment(4);
     metrics_.target_connections_[telemetry::connection_event::retired].Increment(5);
-    metrics_.store_call(platform::operation::watch, platform::call_status::unavailable)
-        .Increment(6);
+    metrics_.store_call(store::operation::watch, store::call_status::unavailable).Increment(6);
     const std::string seen = text();
     for (const char* line :
          {"savoryscale_requests_total{end=\"caller_left\"} 1",
--- a/tests/plans_test.cpp
+++ b/tests/plans_test.cpp
@@ -4,8 +4,8 @@
 #include "plans/configuration.hpp"
 #include "plans/edited_file.hpp"
 #include "plans/keeper.hpp"
-#include "platform/object_api.hpp"
 #include "settings/parse.hpp"
+#include "store/object_api.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -14,8 +14,8 @@
 
 using namespace savoryscale;
 using namespace savoryscale::plans;
-using platform::call_status;
-using platform::object_reply;
+using store::call_status;
+using store::object_reply;
 
 namespace {
 
--- a/tests/platform_test.cpp
+++ b/tests/store_test.cpp
@@ -1,14 +1,14 @@
-#include "platform/blocking_call.hpp"
-#include "platform/call_gate.hpp"
-#include "platform/http_host_list_client.hpp"
-#include "platform/http_object_client.hpp"
-#include "platform/status_record.hpp"
+#include "store/blocking_call.hpp"
+#include "store/call_gate.hpp"
+#include "store/http_host_list_client.hpp"
+#include "store/http_object_client.hpp"
+#include "store/status_record.hpp"
 #include "support/running_platform.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace savoryscale;
-using namespace savoryscale::platform;
+using namespace savoryscale::store;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/support/fake_platform.hpp
+++ b/tests/support/fake_platform.hpp
@@ -2,8 +2,8 @@
 
 // The platform inside the test program. Each host has its own client, which can be cut.
 
-#include "platform/host_list.hpp"
-#include "platform/object_client.hpp"
+#include "store/host_list.hpp"
+#include "store/object_client.hpp"
 
 #include <atomic>
 #include <map>
@@ -17,22 +17,22 @@
 // The objects all clients see. A watch is answered by the next write of its key.
 class fake_store {
 public:
-    platform::object_reply apply(const platform::object_call& call)
+    store::object_reply apply(const store::object_call& call)
     {
-        std::vector<platform::object_call> woken;
-        platform::object_reply reply;
+        std::vector<store::object_call> woken;
+        store::object_reply reply;
         {
             const std::lock_guard lock{mutex_};
             reply = apply_locked(call, woken);
         }
-        for (const platform::object_call& each : woken) {
+        for (const store::object_call& each : woken) {
             each.done_(apply(each));
         }
         return reply;
     }
 
     // Keeps a watch until the key is written, unless it is behind already.
-    void watch(const platform::object_call& call)
+    void watch(const store::object_call& call)
     {
         {
             const std::lock_guard lock{mutex_};
@@ -47,12 +47,12 @@
 
     void put(const std::string& key, const std::string& value)
     {
-        platform::object_call call;
-        call.operation_ = platform::operation::get;
+        store::object_call call;
+        call.operation_ = store::operation::get;
         call.key_ = key;
-        const platform::object_reply old = apply(call);
-        const bool exists = old.status_ == platform::call_status::ok;
-        call.operation_ = exists ? platform::operation::update : platform::operation::create;
+        const store::object_reply old = apply(call);
+        const bool exists = old.status_ == store::call_status::ok;
+        call.operation_ = exists ? store::operation::update : store::operation::create;
         call.expected_version_ = exists ? old.objects_.front().version_ : 0;
         call.value_ = value;
         apply(call);
@@ -66,16 +66,16 @@
     }
 
 private:
-    platform::object_reply apply_locked(const platform::object_call& call,
-                                        std::vector<platform::object_call>& woken)
+    store::object_reply apply_locked(const store::object_call& call,
+                                     std::vector<store::object_call>& woken)
     {
-        using platform::call_status;
-        using platform::operation;
+        using store::call_status;
+        using store::operation;
         const auto it = objects_.find(call.key_);
         const bool reads = call.operation_ == operation::get || call.operation_ == operation::watch;
         if (reads) {
-            return it == objects_.end() ? platform::object_reply{call_status::not_found, {}}
-                                        : platform::object_reply{call_status::ok, {it->second}};
+            return it == objects_.end() ? store::object_reply{call_status::not_found, {}}
+                                        : store::object_reply{call_status::ok, {it->second}};
         }
         const std::uint64_t version = it == objects_.end() ? 0 : it->second.version_;
         const std::uint64_t expected =
@@ -97,22 +97,22 @@
     }
 
     std::mutex mutex_;
-    std::map<std::string, platform::object> objects_;
-    std::vector<platform::object_call> watches_;
+    std::map<std::string, store::object> objects_;
+    std::vector<store::object_call> watches_;
     std::uint64_t written_ = 0;
 };
 
 // One host's way to the store and the host list.
-class fake_client final : public platform::object_client, public platform::host_list_client {
+class fake_client final : public store::object_client, public store::host_list_client {
 public:
     explicit fake_client(fake_store& store) : store_{store} {}
 
-    void submit(platform::object_call call) override
+    void submit(store::object_call call) override
     {
         if (down_) {
-            call.done_({platform::call_status::unavailable, {}});
+            call.done_({store::call_status::unavailable, {}});
         }
-        else if (call.operation_ == platform::operation::watch) {
+        else if (call.operation_ == store::operation::watch) {
             store_.watch(call);
         }
         else {
@@ -120,17 +120,17 @@
         }
     }
 
-    void fetch(duration /*timeout*/, std::function<void(platform::host_list_reply)> done) override
+    void fetch(duration /*timeout*/, std::function<void(store::host_list_reply)> done) override
     {
         if (down_) {
-            done({platform::call_status::unavailable, {}});
+            done({store::call_status::unavailable, {}});
             return;
         }
         const std::lock_guard lock{mutex_};
-        done({platform::call_status::ok, listed_});
+        done({store::call_status::ok, listed_});
     }
 
-    void list(std::vector<platform::listed_host> hosts)
+    void list(std::vector<store::listed_host> hosts)
     {
         const std::lock_guard lock{mutex_};
         listed_ = std::move(hosts);
@@ -141,7 +141,7 @@
 private:
     fake_store& store_;
     std::mutex mutex_;
-    std::vector<platform::listed_host> listed_;
+    std::vector<store::listed_host> listed_;
 };
 
 } // namespace savoryscale::tests
