--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,12 +1,15 @@
 // The savoryscale program: picks the subcommand and runs it.
 
 #include "cli/command.hpp"
+#include "directory/dialect.hpp"
+#include "platform/dialect.hpp"
 
 #include <iostream>
 #include <span>
 
 int main(int argc, char** argv)
 {
+    savoryscale::directory::install_dialect(platform::dialect());
     const std::span<char*> arguments{argv, static_cast<std::size_t>(argc)};
     return savoryscale::cli::run(arguments, std::cout, std::cerr);
 }
--- /dev/null
+++ b/src/cli/routed_host.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+// One entry host that follows a directory: one thread, one event loop, and no other process to talk to
+// but callers, targets and the store.
+
+#include "base/error.hpp"
+#include "directory/directory_task.hpp"
+#include "http/event_loop.hpp"
+#include "http/front.hpp"
+#include "http/page_server.hpp"
+#include "settings/settings.hpp"
+#include "telemetry/metrics.hpp"
+#include "telemetry/readiness.hpp"
+
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace savoryscale::cli {
+
+class routed_host {
+public:
+    routed_host(const settings::settings& config, const directory::dialect& spoken);
+    ~routed_host();
+    routed_host(const routed_host&) = delete;
+    routed_host& operator=(const routed_host&) = delete;
+    routed_host(routed_host&&) = delete;
+    routed_host& operator=(routed_host&&) = delete;
+
+    // Starts every part. Errors: an address that cannot be bound.
+    result<void> start();
+
+    // Runs until a stop has ended. Signals are taken here: the first order to stop is a graceful stop,
+    // the second ends at once. Returns whether the stop was graceful.
+    bool run(const std::string& settings_file);
+
+private:
+    http::front_events front_events();
+    directory::directory_events directory_events();
+    http::page answer_page(std::string_view path) const;
+    void on_wake(const std::string& settings_file);
+    void begin_stop();
+    void reload(const std::string& settings_file);
+    void update_readiness();
+
+    const settings::settings& config_;
+    const directory::dialect& dialect_;
+    std::uint64_t seed_;
+    prometheus::Registry registry_;
+    const telemetry::metrics metrics_;
+    telemetry::readiness readiness_ = telemetry::readiness::starting;
+    std::unique_ptr<http::event_loop> loop_;
+    std::unique_ptr<http::front> front_;
+    std::unique_ptr<directory::directory_task> directory_;
+    std::unique_ptr<http::page_server> pages_;
+    bool forced_ = false;
+};
+
+} // namespace savoryscale::cli
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -2,6 +2,8 @@
 
 #include "cli/command.hpp"
 #include "cli/entry_host.hpp"
+#include "cli/routed_host.hpp"
+#include "directory/dialect.hpp"
 #include "telemetry/log.hpp"
 
 #include <csignal>
@@ -57,10 +59,33 @@
     return wait_for_stop(watched, host);
 }
 
+// One event loop serves callers, targets and the store; lines go to standard output.
+int serve_directory(const settings::settings& config, const std::string& settings_file)
+{
+    const directory::dialect* spoken = directory::installed_dialect();
+    if (spoken == nullptr) {
+        std::cerr << "directory: no dialect of a store is built in; build with platform/\n";
+        return exit_failure;
+    }
+    telemetry::start_line_log(config.logging_, STDOUT_FILENO);
+    routed_host host{config, *spoken};
+    if (const auto started = host.start(); !started) {
+        std::cerr << to_string(started.error()) << '\n';
+        telemetry::stop_logging();
+        return exit_failure;
+    }
+    const bool graceful = host.run(settings_file);
+    telemetry::stop_logging();
+    return graceful ? exit_ok : exit_failure;
+}
+
 } // namespace
 
-int serve(const settings::settings& config)
+int serve(const settings::settings& config, const std::string& settings_file)
 {
+    if (config.directory_) {
+        return serve_directory(config, settings_file);
+    }
     const sigset_t watched = block_signals();
     telemetry::start_logging(config.logging_, std::cerr);
     const int code = run_host(config, watched);
--- a/src/cli/serve_command.cpp
+++ b/src/cli/serve_command.cpp
@@ -11,7 +11,7 @@
 int run_serve(std::span<const std::string> /*operands*/, std::ostream& /*out*/, std::ostream& err)
 {
     const auto config = load_flagged_settings(err);
-    return config ? serve(*config) : static_cast<int>(exit_invalid);
+    return config ? serve(*config, flagged_settings_file()) : static_cast<int>(exit_invalid);
 }
 
 } // namespace savoryscale::cli
--- a/src/cli/settings_flag.cpp
+++ b/src/cli/settings_flag.cpp
@@ -26,4 +26,9 @@
     return std::move(*loaded);
 }
 
+const std::string& flagged_settings_file()
+{
+    return FLAGS_settings;
+}
+
 } // namespace savoryscale::cli
--- a/src/cli/settings_flag.hpp
+++ b/src/cli/settings_flag.hpp
@@ -6,10 +6,14 @@
 
 #include <iosfwd>
 #include <optional>
+#include <string>
 
 namespace savoryscale::cli {
 
 // The settings in the file that --settings names. Without a value every fault goes to `err`.
 std::optional<settings::settings> load_flagged_settings(std::ostream& err);
 
+// The file that --settings names.
+const std::string& flagged_settings_file();
+
 } // namespace savoryscale::cli
--- /dev/null
+++ b/src/directory/dialect.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+// How a particular store spells what the directory asks and hears. One table of functions; platform/
+// holds the one for the users' store. None of them keeps state.
+
+#include "base/error.hpp"
+#include "directory/follow.hpp"
+#include "directory/stored_object.hpp"
+#include "directory/target_entry.hpp"
+#include "routes/route.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace savoryscale::directory {
+
+struct dialect {
+    std::string_view configuration_kind_; // holds the desired state
+    std::string_view configuration_name_;
+    std::string_view targets_kind_;
+
+    // Path and query of a GET that lists or watches a kind.
+    std::string (*call_path_)(std::string_view kind, const follow_call&) = nullptr;
+    result<list_page> (*read_list_)(std::string_view body) = nullptr;
+    result<change_page> (*read_changes_)(std::string_view body) = nullptr;
+    result<routes::desired_state> (*read_desired_state_)(const nlohmann::json&) = nullptr;
+    result<target_entry> (*read_target_)(std::string_view id, const nlohmann::json&) = nullptr;
+};
+
+// The dialect that `serve` speaks with the store of its directory. Installed once, before it runs.
+void install_dialect(const dialect& spoken);
+const dialect* installed_dialect();
+
+} // namespace savoryscale::directory
--- /dev/null
+++ b/src/directory/follow.cpp
@@ -0,0 +1,86 @@
+#include "directory/follow.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace savoryscale::directory {
+
+namespace {
+
+constexpr std::uint32_t doublings_max = 8;
+
+// An answer came. Returns how long there was none before, when calls had failed.
+std::optional<duration> note_answer(follow_state& state, time_point now)
+{
+    state.failures_ = 0;
+    const auto since = std::exchange(state.failing_since_, std::nullopt);
+    return since ? std::optional<duration>{now - *since} : std::nullopt;
+}
+
+} // namespace
+
+follow_call next_call(const follow_state& state)
+{
+    if (state.listed_) {
+        return {true, {}, state.revision_, state.options_.wait_};
+    }
+    return {false, state.after_, 0, {}};
+}
+
+follow_news on_list_page(follow_state& state, list_page page, time_point now)
+{
+    follow_news news;
+    news.returned_after_ = note_answer(state, now);
+    if (state.after_.empty()) {
+        state.page_.clear();
+        state.first_revision_ = page.revision_;
+    }
+    std::move(page.objects_.begin(), page.objects_.end(), std::back_inserter(state.page_));
+    state.due_ = now;
+    if (page.more_ && !state.page_.empty() && state.after_ != state.page_.back().name_) {
+        state.after_ = state.page_.back().name_;
+        return news;
+    }
+    // Changes made between the pages are heard again by the watch.
+    state.listed_ = true;
+    state.revision_ = state.first_revision_;
+    state.after_.clear();
+    state.due_ = now + state.options_.pause_;
+    news.whole_ = true;
+    news.objects_ = std::exchange(state.page_, {});
+    return news;
+}
+
+follow_news on_changes(follow_state& state, change_page page, time_point now)
+{
+    follow_news news;
+    news.returned_after_ = note_answer(state, now);
+    state.revision_ = std::max(state.revision_, page.revision_);
+    state.due_ = now + (page.objects_.empty() ? duration::zero() : state.options_.pause_);
+    news.objects_ = std::move(page.objects_);
+    return news;
+}
+
+void on_history_gone(follow_state& state, time_point now)
+{
+    state.listed_ = false;
+    state.after_.clear();
+    state.page_.clear();
+    state.due_ = now;
+}
+
+void on_call_failed(follow_state& state, time_point now, random_source& random)
+{
+    if (!state.failing_since_) {
+        state.failing_since_ = now;
+    }
+    const auto doublings = std::min(state.failures_++, doublings_max);
+    const duration ceiling = std::min(state.options_.backoff_max_,
+                                      state.options_.backoff_min_ * (std::int64_t{1} << doublings));
+    const auto half = static_cast<std::uint64_t>(ceiling.count() / 2);
+    state.due_ = now + duration{static_cast<std::int64_t>(half + uniform_below(random, half + 1))};
+    state.after_.clear(); // pages of two moments are not put together
+}
+
+} // namespace savoryscale::directory
--- /dev/null
+++ b/src/directory/follower.cpp
@@ -0,0 +1,163 @@
+#include "directory/follower.hpp"
+
+#include "directory/dialect.hpp"
+#include "http/connection_pool.hpp"
+#include "http/event_loop.hpp"
+#include "http/whole_exchange.hpp"
+#include "telemetry/log.hpp"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <utility>
+
+namespace savoryscale::directory {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// An answer later than this, beyond the wait that was asked for, is given up.
+constexpr duration answer_timeout = 1500ms;
+
+// A page of a list holds a megabyte at most, and its frame.
+constexpr std::size_t answer_max_bytes = std::size_t{2} << 20U;
+
+constexpr int http_ok = 200;
+constexpr int http_too_many_requests = 429;
+constexpr int http_gone = 410;
+constexpr int http_unavailable = 503;
+
+store::call_status status_of(const http::whole_answer& answer)
+{
+    using end = http::whole_answer::end;
+    if (answer.end_ == end::not_sent || answer.end_ == end::refused) {
+        return store::call_status::not_sent;
+    }
+    if (answer.end_ != end::answered) {
+        return store::call_status::unknown;
+    }
+    switch (answer.head_.status_) {
+    case http_ok:
+        return store::call_status::ok;
+    case http_gone:
+        return store::call_status::not_found;
+    case http_too_many_requests:
+    case http_unavailable:
+        return store::call_status::unavailable;
+    default:
+        return store::call_status::rejected;
+    }
+}
+
+} // namespace
+
+follower::follower(http::event_loop& loop, http::connection_pool& pool, const dialect& spoken,
+                   std::string_view kind, const follow_options& options, random_source& random,
+                   follower_events events)
+    : loop_{loop},
+      pool_{pool},
+      dialect_{spoken},
+      kind_{kind},
+      random_{random},
+      events_{std::move(events)}
+{
+    state_.options_ = options;
+}
+
+follower::~follower()
+{
+    loop_.cancel(timer_);
+}
+
+void follower::start()
+{
+    call();
+}
+
+void follower::schedule()
+{
+    loop_.cancel(timer_);
+    timer_ = loop_.at(state_.due_, [this] {
+        timer_ = 0;
+        call();
+    });
+}
+
+void follower::call()
+{
+    const follow_call next = next_call(state_);
+    auto started = std::make_unique<http::whole_exchange>(
+        loop_,
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", dialect_.call_path_(kind_, next),
+                    pool_.name()),
+        answer_max_bytes);
+    exchange_ = std::move(started);
+    const bool began =
+        exchange_->start(pool_, next.wait_ + answer_timeout,
+                         [this, watch = next.watch_](const http::whole_answer& answer) {
+                             on_answer(answer, watch);
+                         });
+    if (!began) {
+        exchange_.reset();
+        fail("no connection is free");
+    }
+}
+
+void follower::on_answer(const http::whole_answer& answer, bool watch)
+{
+    loop_.retire(std::move(exchange_)); // it is still on the stack
+    events_.on_call_(watch ? store::operation::watch : store::operation::list, status_of(answer));
+    if (answer.end_ == http::whole_answer::end::answered && answer.head_.status_ == http_gone) {
+        telemetry::state_change("store_history_gone", {{"kind", kind_}},
+                                telemetry::severity::warning);
+        on_history_gone(state_, loop_.now());
+        schedule();
+    }
+    else if (status_of(answer) != store::call_status::ok) {
+        fail(fmt::format("end {} status {}", static_cast<int>(answer.end_), answer.head_.status_));
+    }
+    else if (!read(answer, watch)) {
+        fail("the answer could not be read");
+    }
+}
+
+bool follower::read(const http::whole_answer& answer, bool watch)
+{
+    if (watch) {
+        auto changes = dialect_.read_changes_(answer.body_);
+        if (changes) {
+            tell(on_changes(state_, std::move(*changes), loop_.now()));
+        }
+        return changes.has_value();
+    }
+    auto page = dialect_.read_list_(answer.body_);
+    if (page) {
+        tell(on_list_page(state_, std::move(*page), loop_.now()));
+    }
+    return page.has_value();
+}
+
+void follower::fail(std::string why)
+{
+    if (!state_.failing_since_) {
+        telemetry::state_change("store_lost", {{"kind", kind_}, {"why", std::move(why)}},
+                                telemetry::severity::warning);
+    }
+    on_call_failed(state_, loop_.now(), random_);
+    schedule();
+}
+
+void follower::tell(follow_news news)
+{
+    heard_at_ = loop_.now();
+    if (news.returned_after_) {
+        const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(*news.returned_after_);
+        telemetry::state_change("store_regained",
+                                {{"kind", kind_}, {"away_ms", std::to_string(away.count())}});
+    }
+    events_.on_news_(std::move(news));
+    schedule();
+}
+
+} // namespace savoryscale::directory
--- /dev/null
+++ b/src/directory/registry.cpp
@@ -0,0 +1,132 @@
+#include "directory/registry.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace savoryscale::directory {
+
+namespace {
+
+using entry_map = std::map<std::string, known_entry, std::less<>>;
+
+bool is_same_server(const target_entry& one, const target_entry& other)
+{
+    return one.address_ == other.address_ && one.service_ == other.service_ &&
+           one.born_ms_ == other.born_ms_;
+}
+
+entry_map::iterator drop(registry& all, entry_map::iterator gone)
+{
+    all.changed_.insert(gone->second.entry_.service_);
+    return all.entries_.erase(gone);
+}
+
+bool is_in_return_grace(const registry& all, time_point now)
+{
+    return all.store_returned_ && now - *all.store_returned_ < return_grace;
+}
+
+// Removes the entry, or only marks it while living targets may not have registered again.
+entry_map::iterator remove(registry& all, entry_map::iterator gone, time_point now)
+{
+    if (!is_in_return_grace(all, now) || gone->second.entry_.leaving_) {
+        return drop(all, gone);
+    }
+    if (!gone->second.missing_since_) {
+        gone->second.missing_since_ = *all.store_returned_;
+    }
+    return std::next(gone);
+}
+
+// A later server at the address has taken the place of this one.
+bool is_superseded(const registry& all, const known_entry& candidate)
+{
+    return std::any_of(all.entries_.begin(), all.entries_.end(), [&](const auto& other) {
+        return other.second.entry_.address_ == candidate.entry_.address_ &&
+               other.second.incarnation_ > candidate.incarnation_;
+    });
+}
+
+} // namespace
+
+void on_list(registry& all, std::span<const target_entry> listed, time_point now)
+{
+    std::set<std::string_view> ids;
+    for (const target_entry& entry : listed) {
+        ids.insert(entry.id_);
+        on_entry(all, entry);
+    }
+    for (auto at = all.entries_.begin(); at != all.entries_.end();) {
+        at = ids.count(at->first) > 0 ? std::next(at) : remove(all, at, now);
+    }
+}
+
+void on_entry(registry& all, const target_entry& entry)
+{
+    const auto [at, added] = all.entries_.try_emplace(entry.id_);
+    known_entry& known = at->second;
+    if (!added && known.entry_ == entry && !known.missing_since_) {
+        return;
+    }
+    if (added || !is_same_server(known.entry_, entry)) {
+        known.incarnation_ = ++all.last_incarnation_;
+        all.changed_.insert(known.entry_.service_);
+    }
+    known.entry_ = entry;
+    known.missing_since_.reset();
+    all.changed_.insert(entry.service_);
+}
+
+void on_removed(registry& all, std::string_view id, time_point now)
+{
+    const auto found = all.entries_.find(id);
+    if (found != all.entries_.end()) {
+        remove(all, found, now);
+    }
+}
+
+void on_store_returned(registry& all, time_point now)
+{
+    all.store_returned_ = now;
+}
+
+std::optional<time_point> expire(registry& all, time_point now)
+{
+    std::optional<time_point> next;
+    for (auto at = all.entries_.begin(); at != all.entries_.end();) {
+        const auto& missing = at->second.missing_since_;
+        if (missing && now - *missing >= return_grace) {
+            at = drop(all, at);
+            continue;
+        }
+        if (missing) {
+            next = std::min(next.value_or(time_point::max()), *missing + return_grace);
+        }
+        ++at;
+    }
+    return next;
+}
+
+std::vector<routing::target_info> targets_of(const registry& all, std::string_view service)
+{
+    std::vector<routing::target_info> targets;
+    for (const auto& [id, known] : all.entries_) {
+        const target_entry& entry = known.entry_;
+        if (entry.service_ != service || is_superseded(all, known)) {
+            continue;
+        }
+        routing::target_info info;
+        info.address_ = entry.address_;
+        info.data_centre_ = entry.data_centre_;
+        info.leaving_ = entry.leaving_;
+        info.incarnation_ = known.incarnation_;
+        info.id_ = id;
+        info.slots_ = entry.slots_;
+        info.warm_up_ = entry.warm_up_;
+        targets.push_back(std::move(info));
+    }
+    return targets;
+}
+
+} // namespace savoryscale::directory
--- /dev/null
+++ b/src/directory/stored_object.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+// Objects of the store as a dialect has decoded them.
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace savoryscale::directory {
+
+struct stored_object {
+    std::string name_;
+    std::uint64_t revision_ = 0; // of its last change
+    std::uint64_t created_ = 0;  // orders objects by age
+    bool removed_ = false;
+    nlohmann::json value_; // null when removed, or when it could not be read
+};
+
+// One page of the objects of a kind.
+struct list_page {
+    std::vector<stored_object> objects_;
+    bool more_ = false; // further pages follow
+    std::uint64_t revision_ = 0; // of the store when it was read
+};
+
+// What changed since a revision, in order.
+struct change_page {
+    std::vector<stored_object> objects_;
+    std::uint64_t revision_ = 0; // of the store, to continue from
+};
+
+} // namespace savoryscale::directory
--- a/src/dispatch/call.cpp
+++ b/src/dispatch/call.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr int status_no_target = 503;
+constexpr int status_not_run = 503;
 constexpr int status_broken = 502;
 constexpr int status_deadline = 504;
 constexpr int first_server_error = 500;
@@ -30,7 +30,7 @@
 
 bool has_attempt_left(const call& state)
 {
-    return state.attempt_count_ < attempts_max && state.body_replayable_;
+    return state.attempt_count_ < state.rules_.attempts_max_ && state.body_replayable_;
 }
 
 action open_next(call& state)
@@ -54,7 +54,11 @@
 {
     state.phase_ = call_phase::finished;
     const outcome told = may_have_run(state) ? outcome::unknown : outcome::not_run;
-    todo.add({action_kind::answer, 0, status, told});
+    // The status of a refusal promises that the request did not run, so that it goes with that alone.
+    const int fitting = told == outcome::not_run      ? status_not_run
+                        : status == status_not_run ? status_broken
+                                                      : status;
+    todo.add({action_kind::answer, 0, fitting, told});
 }
 
 } // namespace
@@ -147,8 +151,7 @@
         todo.add(open_next(state));
     }
     else if (!any_live(state, attempts_max)) {
-        const bool had_target = failure == attempt_failure::broken;
-        answer_locally(state, todo, had_target ? status_broken : status_no_target);
+        answer_locally(state, todo, status_broken);
     }
     return todo;
 }
--- a/src/http/attempt_exchange.cpp
+++ b/src/http/attempt_exchange.cpp
@@ -10,6 +10,7 @@
 #include "routing/service_view.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace savoryscale::http {
 
@@ -25,6 +26,21 @@
     return !service.not_run_header_.empty() && has_field(head, service.not_run_header_);
 }
 
+// A success without the target's seal is not its answer, where targets seal theirs.
+bool is_whole_success_possible(const answer_head& head, const settings::header_names& names)
+{
+    const bool success = head.status_ >= 200 && head.status_ < 300;
+    return !success || names.seal_.empty() || has_field(head, names.seal_);
+}
+
+// Statuses by which callers learn that a request has not run. A target's own, without proof, is not
+// passed on.
+bool promises_not_run(const answer_head& head)
+{
+    constexpr std::array<int, 4> promises{408, 421, 429, 503};
+    return std::find(promises.begin(), promises.end(), head.status_) != promises.end();
+}
+
 } // namespace
 
 void attempt_exchange::on_ready(upstream_connection& connection)
@@ -34,43 +50,56 @@
     call_->send_request(*this);
 }
 
-void attempt_exchange::on_answer_head(const answer_head& head)
+bool attempt_exchange::on_answer_head(const answer_head& head)
 {
     proxied_call& call = *call_;
-    answered_ = call.front_.loop().now();
-    latency_ = answered_ - sent_;
-    load_ = read_load(head);
-    status_ = head.status_;
-    if (!answers_request(head, request_id_)) {
+    const settings::header_names& names = call.front_.config().header_names_;
+    if (!answers_request(head, request_id_, names)) {
+        if (names.caller_sets_request_id_) {
+            return false; // late, to an earlier request
+        }
         pool_->connection_poisoned();
         connection_->abandon();
         call.fail_attempt(*this, dispatch::attempt_failure::broken);
-        return;
+        return true;
     }
+    answered_ = call.front_.loop().now();
+    latency_ = answered_ - sent_;
+    load_ = names.load_.empty() ? read_load(head) : read_compact_load(head, names.load_);
+    status_ = head.status_;
     if (load_ && load_->draining_) {
         call.front_.target_is_draining(*call.service_, target_);
     }
-    if (proves_not_run(head, *call.service_->config_)) {
+    if (proves_not_run(head, call.service_->config_)) {
         connection_->abandon();
         call.fail_attempt(*this, dispatch::attempt_failure::shed);
-        return;
+        return true;
+    }
+    if (!is_whole_success_possible(head, names) || promises_not_run(head)) {
+        connection_->abandon();
+        call.fail_attempt(*this, dispatch::attempt_failure::broken);
+        return true;
     }
     const bool granted = dispatch::wants_retry_of_answer(call.state_, id_, head.status_) &&
                          routing::take_retry(call.service_->view_, call.front_.loop().now());
-    const dispatch::actions todo = dispatch::answer_begun(call.state_, id_, granted);
     if (granted) {
         call.front_.metrics().retries_.Increment();
+        call.execute(dispatch::answer_begun(call.state_, id_, granted));
+        return true;
     }
-    else {
-        call.caller_.begin_answer(head);
-    }
-    call.execute(todo);
+    head_ = head;
+    held_.clear();
+    passing_ = false;
+    return true;
 }
 
 void attempt_exchange::on_answer_body(std::string_view bytes)
 {
-    call_->note_progress();
-    call_->caller_.answer_body(bytes);
+    held_.append(bytes);
+    if (!passing_ && held_.size() <= held_answer_max) {
+        return;
+    }
+    call_->take_answer(*this);
     if (call_->caller_.queued() > queue_high_bytes) {
         connection_->pause_reading();
     }
@@ -80,9 +109,15 @@
 {
     proxied_call& call = *call_;
     connection_ = nullptr;
+    if (!passing_ && !held_.empty()) {
+        head_.content_length_ = held_.size();
+        head_.chunked_ = false;
+    }
+    call.take_answer(*this);
     call.report_end(*this, routing::attempt_end::answered, true);
     dispatch::answer_completed(call.state_);
     call.count_end(telemetry::request_end::answered);
+    call.log_answer(*this);
     call.finish();
     call.caller_.end_answer();
 }
--- a/src/http/attempt_exchange.hpp
+++ b/src/http/attempt_exchange.hpp
@@ -9,6 +9,7 @@
 #include "routing/target.hpp"
 #include "telemetry/span.hpp"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,7 @@
 namespace savoryscale::http {
 
 class connection_pool;
+class placement;
 class proxied_call;
 class upstream_connection;
 
@@ -23,7 +25,7 @@
 class attempt_exchange final : public upstream_exchange {
 public:
     void on_ready(upstream_connection& connection) override;
-    void on_answer_head(const answer_head& head) override;
+    bool on_answer_head(const answer_head& head) override;
     void on_answer_body(std::string_view bytes) override;
     void on_answer_complete() override;
     void on_failed(exchange_failure failure) override;
@@ -44,6 +46,11 @@
     std::optional<routing::load_report> load_;
     std::string request_id_;
     std::string target_name_; // for the quarantine
+    std::string instance_;    // the only server that may run it; empty: any
+    std::shared_ptr<placement> placing_; // while its target is being looked for
+    answer_head head_;        // of its answer
+    std::string held_;        // body that has come and is not passed on yet
+    bool passing_ = false;    // the answer is being passed on
     telemetry::span_id span_{};
     time_point answered_{}; // when the answer's head came
     int status_ = 0;
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -19,6 +19,8 @@
 // Bytes of further requests held while one is being answered; reading stops above it.
 constexpr std::size_t pipelined_bytes_max = 65536;
 
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
 constexpr int status_bad_request = 400;
 constexpr int status_header_too_large = 431;
 constexpr int status_timeout = 408;
@@ -26,9 +28,9 @@
 } // namespace
 
 caller_connection::caller_connection(front& owner, socket& stream)
-    : front_{owner}, stream_{&stream}, reader_{owner.config().listen_.max_header_bytes_}
+    : front_{owner}, stream_{&stream}, reader_{owner.limits().max_header_bytes_}
 {
-    expect_activity(front_.config().listen_.idle_timeout_);
+    expect_activity(front_.limits().idle_timeout_);
 }
 
 caller_connection::~caller_connection()
@@ -74,7 +76,7 @@
 {
     if (!header_started_ && call_ == nullptr) {
         header_started_ = true;
-        expect_activity(front_.config().listen_.header_timeout_);
+        expect_activity(front_.limits().header_timeout_);
     }
     read_on(bytes);
 }
@@ -130,14 +132,19 @@
     leave();
 }
 
-void caller_connection::begin_answer(const answer_head& head)
+void caller_connection::begin_answer(answer_head head)
 {
+    const bool has_body = !head_request_ && head.status_ != status_no_content &&
+                          head.status_ != status_not_modified;
+    if (has_body && !head.content_length_ && !head.chunked_) {
+        head.chunked_ = true; // it ended with the target's connection; this one may go on
+    }
     if (!reader_.complete() || front_.is_stopping()) {
         answer_close_ = true; // the rest of the request will not be read
     }
     answer_chunked_ = head.chunked_ && !head_request_;
     if (stream_ != nullptr) {
-        stream_->write(caller_answer_text(head, answer_close_));
+        stream_->write(caller_answer_text(head, answer_close_, front_.config().header_names_));
     }
 }
 
@@ -162,6 +169,7 @@
         answer_close_ = true;
     }
     answer.close_ = answer_close_;
+    answer.fractional_ = front_.config().listen_.fractional_retry_after_;
     if (stream_ != nullptr) {
         stream_->write(local_answer_text(answer, head_request_));
     }
@@ -183,7 +191,7 @@
     request_ended_ = false;
     reader_.next();
     resume_reading();
-    expect_activity(front_.config().listen_.idle_timeout_);
+    expect_activity(front_.limits().idle_timeout_);
     if (reader_.pending_bytes() > 0) {
         // Not from here: the call that just ended is still on the stack.
         header_started_ = true;
--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -27,7 +27,7 @@
     caller_connection& operator=(caller_connection&&) = delete;
 
     // The answer to the present request, in pieces. `close` ends the connection after it.
-    void begin_answer(const answer_head& head);
+    void begin_answer(answer_head head);
     void answer_body(std::string_view bytes);
     void end_answer();
 
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -4,8 +4,11 @@
 #include "http/socket.hpp"
 #include "http/upstream_connection.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace savoryscale::http {
@@ -41,10 +44,16 @@
     if (now < no_reuse_until_) {
         return idle_.end();
     }
-    return std::find_if(idle_.begin(), idle_.end(), [&](const upstream_connection* candidate) {
+    const auto is_usable = [&](const upstream_connection* candidate) {
         const duration age = now - candidate->last_proof();
         return age >= settle_time && age <= (proven ? proof_lifetime : idle_lifetime);
-    });
+    };
+    if (answer_ids_) { // the latest to have answered; it need not rest
+        const duration age = idle_.empty() ? duration::max() : now - idle_.back()->last_proof();
+        const bool usable = age <= (proven ? proof_lifetime : idle_lifetime);
+        return usable ? std::prev(idle_.end()) : idle_.end();
+    }
+    return std::find_if(idle_.begin(), idle_.end(), is_usable);
 }
 
 upstream_connection* connection_pool::acquire(upstream_exchange* exchange, bool proven)
@@ -90,6 +99,11 @@
     return (!idle_.empty() || connections_.size() < cap_);
 }
 
+std::string connection_pool::name() const
+{
+    return fmt::format("{}:{}", address_.ip_, address_.port_);
+}
+
 void connection_pool::set_cap(std::size_t cap)
 {
     cap_ = cap;
@@ -189,7 +203,9 @@
 void connection_pool::connection_poisoned()
 {
     ++counters_.poisoned_;
-    no_reuse_until_ = loop_.now() + no_reuse_time;
+    if (!answer_ids_) {
+        no_reuse_until_ = loop_.now() + no_reuse_time;
+    }
 }
 
 // Forgets the connection and closes it once the callback in progress has returned.
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -26,6 +27,7 @@
     std::uint64_t refused_ = 0;  // connections that could not be opened
     std::uint64_t poisoned_ = 0; // closed for bytes outside of an answer
     std::uint64_t retired_ = 0;  // idle ones closed for age
+    std::uint64_t skipped_ = 0;  // late answers to earlier requests
 };
 
 class connection_pool {
@@ -70,6 +72,20 @@
 
     [[nodiscard]] event_loop& loop() { return loop_; }
 
+    // Has the kernel ask after the other side, so that a connection gone silent ends soon.
+    void keep_alive() { keep_alive_ = true; }
+    [[nodiscard]] bool keeps_alive() const { return keep_alive_; }
+
+    // "ip:port" of the target.
+    [[nodiscard]] std::string name() const;
+
+    // Answers carry the id of their request, so that one to an earlier request does no harm and a
+    // connection need not rest before it is reused.
+    void trust_answer_ids() { answer_ids_ = true; }
+
+    // Answers to earlier requests that were read past.
+    [[nodiscard]] std::uint64_t& skipped() { return counters_.skipped_; }
+
     // Told by a connection.
     void connection_opened(upstream_connection& connection);
     void connection_released(upstream_connection& connection, bool reusable);
@@ -87,6 +103,8 @@
     settings::endpoint address_;
     bool tls_;
     std::size_t cap_;
+    bool answer_ids_ = false;
+    bool keep_alive_ = false;
     time_point no_reuse_until_{};
     std::unordered_map<upstream_connection*, std::unique_ptr<upstream_connection>> connections_;
     std::deque<upstream_connection*> idle_; // longest idle first
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -1,9 +1,11 @@
 #include "http/front.hpp"
 
 #include "http/caller_connection.hpp"
+#include "http/load_fields.hpp"
 #include "http/probe_exchange.hpp"
 #include "http/proxied_call.hpp"
 #include "http/socket.hpp"
+#include "http/whole_exchange.hpp"
 #include "telemetry/log.hpp"
 #include "telemetry/span_queue.hpp"
 
@@ -28,6 +30,30 @@
 constexpr duration retry_after_min = 1s;
 constexpr std::uint64_t retry_after_spread_ms = 2000;
 
+// Those that were refused for want of a free slot come back spread over this part of the wait for it.
+constexpr double retry_spread = 0.5;
+constexpr duration retry_after_free_min = 30ms;
+
+// Without a word from a target by then, it counts as failing.
+constexpr duration probe_timeout = 250ms;
+constexpr std::size_t probe_answer_max = 4096;
+
+constexpr int status_ok = 200;
+
+// The settings name one prefix a service, for every host.
+routes::desired_state routes_of_settings(const std::vector<settings::service>& services)
+{
+    routes::desired_state state;
+    for (const settings::service& service : services) {
+        routes::route only;
+        only.name_ = service.name_;
+        only.path_prefix_ = service.path_prefix_;
+        only.parts_.push_back({service.name_, 1});
+        state.routes_.push_back(std::move(only));
+    }
+    return state;
+}
+
 } // namespace
 
 front::front(event_loop& loop, const settings::settings& config, const telemetry::metrics& metrics,
@@ -41,40 +67,34 @@
       inbox_{[&loop] { loop.wake(); }},
       request_id_prefix_{fmt::format("{}-{:x}-", config.host_.id_, random_())}
 {
+    limits_.max_header_bytes_ = config_.listen_.max_header_bytes_;
+    limits_.idle_timeout_ = config_.listen_.idle_timeout_;
+    limits_.header_timeout_ = config_.listen_.header_timeout_;
+    if (config_.directory_) {
+        return;
+    }
     for (const settings::service& service : config_.services_) {
-        auto state = std::make_unique<service_state>();
-        state->config_ = &service;
-        state->view_ = routing::make_view(
-            service, config_.host_.data_centre_,
-            routing::policy_named(service.policy_).value_or(routing::policy::least_wait));
-        state->connection_cap_ =
-            std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
-        state->probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
-        state->probe_bytes_share_ =
-            1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
-        apply_probe_share(*state);
-        services_.push_back(std::move(state));
-    }
-    std::sort(services_.begin(), services_.end(), [](const auto& left, const auto& right) {
-        return left->config_->path_prefix_.size() > right->config_->path_prefix_.size();
-    });
-    for (auto& service : services_) {
-        apply_targets(*service);
+        apply_targets(add_service(service));
     }
+    routes_ = std::make_shared<routes::table>(
+        routes::make_table(routes_of_settings(config_.services_)));
 }
 
 front::~front()
 {
     callers_.clear();
     probes_.clear();
+    placing_probes_.clear();
     loop_.clear_timers();
 }
 
 result<std::uint16_t> front::open()
 {
     loop_.after(tick_interval, [this] { tick(); });
-    loop_.after(probe_interval, [this] { probe_targets(); });
-    loop_.after(load_interval, [this] { tell_admission_load(); });
+    if (!config_.directory_) {
+        loop_.after(probe_interval, [this] { probe_targets(); });
+        loop_.after(load_interval, [this] { tell_admission_load(); });
+    }
     return loop_.listen(config_.listen_.address_, config_.listen_.tls_,
                         [this](socket& stream) -> socket_handler* {
                             if (callers_.size() >= config_.listen_.max_connections_) {
@@ -99,6 +119,56 @@
     }
 }
 
+service_state& front::add_service(settings::service config)
+{
+    auto owned = std::make_unique<service_state>();
+    service_state& state = *owned;
+    state.config_ = std::move(config);
+    const settings::service& service = state.config_;
+    state.view_ =
+        routing::make_view(service, config_.host_.data_centre_,
+                           routing::policy_named(service.policy_).value_or(routing::policy::least_wait));
+    state.connection_cap_ = std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
+    state.probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
+    state.probe_bytes_share_ = 1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
+    apply_probe_share(state);
+    services_.push_back(std::move(owned));
+    return state;
+}
+
+void front::set_desired_state(routes::desired_state state)
+{
+    if (routes_ && state.version_ <= routes_->state_.version_) {
+        return;
+    }
+    for (const routes::routed_service& each : state.services_) {
+        service_state* known = service_named(each.name_);
+        if (known == nullptr) {
+            settings::service config = config_.directory_->service_;
+            config.name_ = each.name_;
+            config.connections_per_target_ = each.connections_per_target_;
+            known = &add_service(std::move(config));
+        }
+        known->config_.probe_path_ = each.probe_path_;
+    }
+    limits_ = state.limits_;
+    routes_ = std::make_shared<routes::table>(routes::make_table(std::move(state)));
+}
+
+// A service that is in no list yet has no targets, and refuses its requests.
+service_state& front::service_of(const routes::route& chosen)
+{
+    const std::size_t part = routes::next_part(splits_[chosen.name_], chosen.parts_, random_);
+    const std::string& name = chosen.parts_[part].service_;
+    service_state* known = service_named(name);
+    if (known == nullptr) {
+        settings::service config = config_.directory_->service_;
+        config.name_ = name;
+        known = &add_service(std::move(config));
+    }
+    return *known;
+}
+
 void front::set_lists(const plans::lists& lists)
 {
     admission::set_lists(admission_, lists, loop_.now());
@@ -107,7 +177,7 @@
 service_state* front::service_named(std::string_view name)
 {
     const auto found = std::find_if(services_.begin(), services_.end(), [&](const auto& service) {
-        return service->config_->name_ == name;
+        return service->config_.name_ == name;
     });
     return found == services_.end() ? nullptr : found->get();
 }
@@ -125,12 +195,15 @@
 void front::apply_targets(service_state& service)
 {
     std::vector<routing::target_info> all = service.listed_;
-    for (const settings::static_target& target : service.config_->targets_) {
+    for (const settings::static_target& target : service.config_.targets_) {
         const bool listed = std::any_of(all.begin(), all.end(), [&](const auto& info) {
             return info.address_ == target.address_;
         });
         if (!listed) {
-            all.push_back({target.address_, target.data_centre_, false, 0});
+            routing::target_info added;
+            added.address_ = target.address_;
+            added.data_centre_ = target.data_centre_;
+            all.push_back(std::move(added));
         }
     }
     routing::update_targets(service.view_, all, loop_.now());
@@ -145,8 +218,12 @@
             connections.pool_->close_idle();
         }
         else {
-            connections.name_ =
+            std::string name =
                 fmt::format("{}:{}/{}", address.ip_, address.port_, info->incarnation_);
+            if (name != connections.name_) {
+                connections.pool_->close_idle(); // they lead to the server before
+            }
+            connections.name_ = std::move(name);
         }
     }
 }
@@ -194,9 +271,9 @@
 void front::tell_admission_load()
 {
     for (auto& service : services_) {
-        const double slots = static_cast<double>(service->config_->slots_per_target_) *
+        const double slots = static_cast<double>(service->config_.slots_per_target_) *
                              static_cast<double>(service->target_count_);
-        admission::set_load(admission_, service->config_->name_, routing::in_use(service->view_),
+        admission::set_load(admission_, service->config_.name_, routing::in_use(service->view_),
                             slots);
     }
     loop_.after(load_interval, [this] { tell_admission_load(); });
@@ -218,7 +295,7 @@
 void front::probe(service_state& service, routing::target_index target)
 {
     metrics_.probes_.Increment();
-    auto owned = std::make_unique<probe_exchange>(loop_, service.config_->probe_path_);
+    auto owned = std::make_unique<probe_exchange>(loop_, service.config_.probe_path_);
     probe_exchange* started = owned.get();
     started->on_done([this, &service, target, started](auto load, std::size_t bytes) {
         metrics_.probe_bytes_.Increment(static_cast<double>(bytes));
@@ -237,6 +314,58 @@
     }
 }
 
+void front::probe_now(service_state& service, routing::target_index target, probe_function done)
+{
+    metrics_.probes_.Increment();
+    const settings::endpoint& address = routing::address_of(service.view_, target);
+    auto owned = std::make_unique<whole_exchange>(
+        loop_,
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\n\r\n", service.config_.probe_path_,
+                    address.ip_, address.port_),
+        probe_answer_max);
+    whole_exchange* started = owned.get();
+    placing_probes_.emplace(started, std::move(owned));
+    const bool began = started->start(
+        pool_of(service, target), probe_timeout,
+        [this, &service, target, started, done](const whole_answer& answer) {
+            const auto found = placing_probes_.find(started);
+            loop_.retire(std::move(found->second));
+            placing_probes_.erase(found);
+            probe_answered(service, target, answer, done);
+        });
+    if (!began) {
+        placing_probes_.erase(started);
+        done(std::nullopt, false);
+    }
+}
+
+void front::probe_answered(service_state& service, routing::target_index target,
+                           const whole_answer& answer, const probe_function& done)
+{
+    const settings::header_names& names = config_.header_names_;
+    const routing::target_info& info = service.view_.targets_[target].info_;
+    const std::string_view instance =
+        names.instance_.empty() ? std::string_view{} : find_field(answer.head_, names.instance_);
+    const bool answered = answer.end_ == whole_answer::end::answered;
+    const bool other_server = !instance.empty() && !info.id_.empty() && instance != info.id_;
+    const bool usable = answered && answer.head_.status_ == status_ok && !other_server;
+    if (!usable) {
+        telemetry::decided("probe_failed", {},
+                           {{"service", service.config_.name_},
+                            {"target", target_name(service, target)},
+                            {"end", std::to_string(static_cast<int>(answer.end_))},
+                            {"status", std::to_string(answer.head_.status_)},
+                            {"instance", std::string{instance}}});
+        routing::probe_failed(service.view_, target, loop_.now());
+        done(std::nullopt, false);
+        return;
+    }
+    const auto load = names.load_.empty() ? std::nullopt
+                                          : read_compact_load(answer.head_, names.load_);
+    routing::probe_ended(service.view_, target, load, loop_.now());
+    done(load, true);
+}
+
 std::uint64_t front::submit(store::object_call call, proxied_call* asker)
 {
     const std::uint64_t ticket = ++last_ticket_;
@@ -270,21 +399,13 @@
     (void)merged; // what was new is told on by the exchange itself
 }
 
-service_state* front::find_service(std::string_view target)
-{
-    for (auto& service : services_) {
-        if (target.substr(0, service->config_->path_prefix_.size()) ==
-            service->config_->path_prefix_) {
-            return service.get();
-        }
-    }
-    return nullptr;
-}
-
 admission::verdict front::admit(std::string_view customer, const service_state& service)
 {
+    if (config_.directory_) {
+        return {}; // plans are for hosts that hold the two lists
+    }
     const auto verdict =
-        admission::admit(admission_, customer, service.config_->name_, loop_.now(), random_);
+        admission::admit(admission_, customer, service.config_.name_, loop_.now(), random_);
     if (!verdict.admitted()) {
         metrics_.refusals_[verdict.reason_].Increment();
     }
@@ -293,7 +414,10 @@
 
 void front::release(std::string_view customer, const service_state& service)
 {
-    admission::release(admission_, customer, service.config_->name_);
+    if (config_.directory_) {
+        return;
+    }
+    admission::release(admission_, customer, service.config_.name_);
 }
 
 target_connections& front::connections_of(service_state& service, routing::target_index target)
@@ -301,8 +425,11 @@
     target_connections& connections = service.targets_[target];
     if (connections.pool_ == nullptr) {
         const settings::endpoint& address = routing::address_of(service.view_, target);
-        connections.pool_ = std::make_unique<connection_pool>(loop_, address, service.config_->tls_,
+        connections.pool_ = std::make_unique<connection_pool>(loop_, address, service.config_.tls_,
                                                               service.connection_cap_);
+        if (config_.header_names_.caller_sets_request_id_) {
+            connections.pool_->trust_answer_ids();
+        }
         const auto info =
             std::find_if(service.listed_.begin(), service.listed_.end(),
                          [&](const auto& candidate) { return candidate.address_ == address; });
@@ -327,8 +454,13 @@
     return fmt::format("{}{:x}", request_id_prefix_, ++last_request_);
 }
 
-duration front::retry_after()
+duration front::retry_after(std::optional<duration> expected)
 {
+    if (expected) {
+        const double spread = 1 + retry_spread * (uniform_unit(random_) - 0.5);
+        const double wait = std::chrono::duration<double, std::nano>{*expected}.count() * spread;
+        return std::max(retry_after_free_min, duration{static_cast<std::int64_t>(wait)});
+    }
     return retry_after_min +
            std::chrono::milliseconds{uniform_below(random_, retry_after_spread_ms)};
 }
@@ -340,7 +472,7 @@
         if (info.address_ == address && !info.leaving_) {
             info.leaving_ = true;
             if (events_.on_target_draining_) {
-                events_.on_target_draining_(service.config_->name_, address, info.incarnation_);
+                events_.on_target_draining_(service.config_.name_, address, info.incarnation_);
             }
         }
     }
@@ -375,7 +507,7 @@
     connections.checking_ = false;
     if (!accepts) {
         telemetry::state_change(
-            "target_crashed", {{"service", service.config_->name_}, {"target", connections.name_}});
+            "target_crashed", {{"service", service.config_.name_}, {"target", connections.name_}});
         for (const admission::fingerprint suspect :
              admission::target_crashed(quarantine_, connections.name_, loop_.now())) {
             tell_suspicion(suspect);
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -13,6 +13,8 @@
 #include "http/service_state.hpp"
 #include "peer/fact.hpp"
 #include "plans/lists.hpp"
+#include "routes/split.hpp"
+#include "routes/table.hpp"
 #include "routing/target.hpp"
 #include "settings/settings.hpp"
 #include "store/object_api.hpp"
@@ -21,6 +23,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -36,6 +39,8 @@
 class caller_connection;
 class probe_exchange;
 class proxied_call;
+class whole_exchange;
+struct whole_answer;
 
 // What the HTTP task tells the others. Called on its thread; each posts to a mailbox.
 struct front_events {
@@ -69,6 +74,10 @@
     // Runs what was posted. The loop's owner calls it at each wake-up.
     void run_posted();
 
+    // Puts a desired state in force, unless one as new or newer is. What it does not name is kept for
+    // the requests in progress.
+    void set_desired_state(routes::desired_state state);
+
     // Configuration, targets and suspicions, as the control plane learns them.
     void set_lists(const plans::lists& lists);
     void set_targets(std::string_view service, std::vector<routing::target_info> targets);
@@ -90,13 +99,21 @@
     [[nodiscard]] bool ends_idle_callers() const { return stop_lag_over_; }
     [[nodiscard]] random_source& random() { return random_; }
     [[nodiscard]] admission::quarantine& quarantined() { return quarantine_; }
-    service_state* find_service(std::string_view target);
+    // The desired state in force; none before one is known.
+    [[nodiscard]] const std::shared_ptr<const routes::table>& routes() const { return routes_; }
+    [[nodiscard]] const routes::request_limits& limits() const { return limits_; }
+    // The service that takes the next request of the route.
+    service_state& service_of(const routes::route& chosen);
+    // Probes the target once and tells what it said, and whether it can take requests.
+    using probe_function =
+        std::function<void(const std::optional<routing::load_report>& load, bool usable)>;
+    void probe_now(service_state& service, routing::target_index target, probe_function done);
     admission::verdict admit(std::string_view customer, const service_state& service);
     void release(std::string_view customer, const service_state& service);
     connection_pool& pool_of(service_state& service, routing::target_index target);
     const std::string& target_name(service_state& service, routing::target_index target);
     std::string next_request_id();
-    duration retry_after();
+    duration retry_after(std::optional<duration> expected);
     void target_is_draining(service_state& service, routing::target_index target);
     void target_refused(service_state& service, routing::target_index target);
     void request_broke(service_state& service, routing::target_index target,
@@ -106,6 +123,7 @@
     // holds the ticket then; a ticket that was dropped hears nothing.
     std::uint64_t submit(store::object_call call, proxied_call* asker);
     void drop_ticket(std::uint64_t ticket) { tickets_.erase(ticket); }
+    [[nodiscard]] bool has_peers() const { return events_.on_suspicion_ != nullptr; }
     [[nodiscard]] bool has_object_api() const { return events_.on_object_call_ != nullptr; }
     void record(telemetry::span finished);
     void forget(caller_connection& gone);
@@ -115,6 +133,9 @@
 private:
     target_connections& connections_of(service_state& service, routing::target_index target);
     service_state* service_named(std::string_view name);
+    service_state& add_service(settings::service config);
+    void probe_answered(service_state& service, routing::target_index target,
+                        const whole_answer& answer, const probe_function& done);
     void apply_targets(service_state& service);
     void crash_checked(service_state& service, routing::target_index target, bool accepts);
     void tell_suspicion(admission::fingerprint request);
@@ -133,7 +154,10 @@
     front_events events_;
     random_source random_;
     const telemetry::metrics& metrics_;
-    std::vector<std::unique_ptr<service_state>> services_; // longest path prefix first
+    std::vector<std::unique_ptr<service_state>> services_;
+    std::shared_ptr<const routes::table> routes_;
+    routes::request_limits limits_;
+    std::unordered_map<std::string, routes::split_state> splits_; // by route
     admission::state admission_;
     admission::quarantine quarantine_;
     mailbox<std::function<void(front&)>> inbox_;
@@ -144,6 +168,7 @@
     std::unordered_map<std::uint64_t, proxied_call*> tickets_;
     std::uint64_t last_ticket_ = 0;
     std::unordered_map<probe_exchange*, std::unique_ptr<probe_exchange>> probes_;
+    std::unordered_map<whole_exchange*, std::unique_ptr<whole_exchange>> placing_probes_;
     bool stopping_ = false;
     bool stop_lag_over_ = false;
 };
--- a/src/http/head_text.cpp
+++ b/src/http/head_text.cpp
@@ -21,20 +21,20 @@
                                                              "Upgrade",
                                                              "Content-Length"};
 
-constexpr std::array<std::string_view, 5> own_fields{"Expect", deadline_field, request_id_field,
-                                                     outcome_field, "traceparent"};
+constexpr std::array<std::string_view, 3> own_fields{"Expect", outcome_field, "traceparent"};
 
 struct status_text {
     int status_;
     std::string_view text_;
 };
 
-constexpr std::array<status_text, 15> status_texts{{{400, "Bad Request"},
+constexpr std::array<status_text, 16> status_texts{{{400, "Bad Request"},
                                                     {403, "Forbidden"},
                                                     {404, "Not Found"},
                                                     {408, "Request Timeout"},
                                                     {409, "Conflict"},
                                                     {413, "Content Too Large"},
+                                                    {421, "Misdirected Request"},
                                                     {422, "Unprocessable Content"},
                                                     {429, "Too Many Requests"},
                                                     {431, "Request Header Fields Too Large"},
@@ -88,10 +88,10 @@
     return false;
 }
 
-void append_fields(std::string& text, const message_head& head)
+void append_fields(std::string& text, const message_head& head, const settings::header_names& names)
 {
     for (const header_field& field : head.fields_) {
-        if (is_hop_by_hop(head, field.name_)) {
+        if (is_hop_by_hop(head, field.name_, names)) {
             continue;
         }
         text.append(field.name_).append(": ").append(field.value_).append("\r\n");
@@ -110,24 +110,37 @@
 
 } // namespace
 
-bool is_hop_by_hop(const message_head& head, std::string_view name)
+bool is_hop_by_hop(const message_head& head, std::string_view name,
+                   const settings::header_names& names)
 {
     return is_among(connection_fields, name) || is_among(own_fields, name) ||
+           equal_ignoring_case(name, names.deadline_) ||
+           (!names.caller_sets_request_id_ && equal_ignoring_case(name, names.request_id_)) ||
+           (!names.expect_instance_.empty() &&
+            equal_ignoring_case(name, names.expect_instance_)) ||
            is_named_by_connection(head, name);
 }
 
-std::string upstream_request_text(const request_head& head, const forwarded_fields& added)
+std::string upstream_request_text(const request_head& head, const forwarded_fields& added,
+                                  const settings::header_names& names)
 {
     std::string text = fmt::format("{} {} HTTP/1.1\r\n", head.method_, head.target_);
-    append_fields(text, head);
+    append_fields(text, head, names);
     append_framing(text, head);
     if (!added.traceparent_.empty()) {
         text.append("traceparent: ").append(added.traceparent_).append("\r\n");
     }
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(added.remaining_);
-    fmt::format_to(std::back_inserter(text), "{}: {}\r\n{}: {}\r\n", deadline_field,
-                   std::max<std::int64_t>(remaining.count(), 1), request_id_field,
-                   added.request_id_);
+    fmt::format_to(std::back_inserter(text), "{}: {}\r\n", names.deadline_,
+                   std::max<std::int64_t>(remaining.count(), 1));
+    if (!names.caller_sets_request_id_) {
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", names.request_id_,
+                       added.request_id_);
+    }
+    if (!added.expect_instance_.empty()) {
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", names.expect_instance_,
+                       added.expect_instance_);
+    }
     if (!added.inner_retries_ && !has_field(head, no_retry_field)) {
         fmt::format_to(std::back_inserter(text), "{}: 1\r\n", no_retry_field);
     }
@@ -135,10 +148,11 @@
     return text;
 }
 
-std::string caller_answer_text(const answer_head& head, bool close)
+std::string caller_answer_text(const answer_head& head, bool close,
+                               const settings::header_names& names)
 {
     std::string text = fmt::format("HTTP/1.1 {} {}\r\n", head.status_, head.reason_);
-    append_fields(text, head);
+    append_fields(text, head, names);
     append_framing(text, head);
     if (close) {
         text.append("Connection: close\r\n");
@@ -147,9 +161,10 @@
     return text;
 }
 
-bool answers_request(const answer_head& head, std::string_view request_id)
+bool answers_request(const answer_head& head, std::string_view request_id,
+                     const settings::header_names& names)
 {
-    const std::string_view echoed = find_field(head, request_id_field);
+    const std::string_view echoed = find_field(head, names.request_id_);
     return echoed.empty() || echoed == request_id;
 }
 
@@ -160,8 +175,10 @@
                                    answer.status_, reason_of(answer.status_),
                                    answer.text_.size() + 1, outcome_field, answer.outcome_);
     if (answer.retry_after_) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*answer.retry_after_);
-        fmt::format_to(std::back_inserter(text), "Retry-After: {}\r\n", seconds.count());
+        const std::chrono::duration<double> exact{*answer.retry_after_};
+        const auto whole = std::chrono::ceil<std::chrono::seconds>(*answer.retry_after_);
+        text += answer.fractional_ ? fmt::format("Retry-After: {:.3f}\r\n", exact.count())
+                                   : fmt::format("Retry-After: {}\r\n", whole.count());
     }
     if (answer.close_) {
         text.append("Connection: close\r\n");
--- a/src/http/load_fields.cpp
+++ b/src/http/load_fields.cpp
@@ -2,8 +2,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <vector>
 
 namespace savoryscale::http {
 
@@ -32,6 +34,32 @@
     return routing::load_report{in_flight.value_or(0), utilization.value_or(0), draining};
 }
 
+std::optional<routing::load_report> read_compact_load(const answer_head& head,
+                                                      std::string_view field_name)
+{
+    constexpr std::size_t figures_min = 3;
+    std::string_view rest = find_field(head, field_name);
+    std::vector<double> figures;
+    while (!rest.empty()) {
+        const std::size_t comma = std::min(rest.find(','), rest.size());
+        const auto figure = read_number(rest.substr(0, comma));
+        if (!figure) {
+            return std::nullopt;
+        }
+        figures.push_back(*figure);
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+    if (figures.size() < figures_min) {
+        return std::nullopt;
+    }
+    routing::load_report load;
+    load.requests_in_flight_ = figures[0] + figures[1];
+    load.slots_ = figures[2];
+    load.utilization_ = figures[2] > 0 ? std::min(1.0, figures[0] / figures[2]) : 0;
+    load.slowdown_ = figures.size() > figures_min ? figures[figures_min] / 100 : 1;
+    return load;
+}
+
 std::optional<routing::load_report> parse_load(std::string_view text)
 {
     const auto parsed = nlohmann::json::parse(text, nullptr, false);
--- /dev/null
+++ b/src/http/page_server.cpp
@@ -0,0 +1,46 @@
+#include "http/page_server.hpp"
+
+#include "http/event_loop.hpp"
+#include "http/page_connection.hpp"
+
+#include <utility>
+
+namespace savoryscale::http {
+
+namespace {
+
+// Tools keep few connections; more are closed at once.
+constexpr std::size_t connections_max = 32;
+
+} // namespace
+
+page_server::page_server(event_loop& loop, page_function answer)
+    : loop_{loop}, answer_{std::move(answer)}
+{
+}
+
+page_server::~page_server() = default;
+
+result<std::uint16_t> page_server::open(const settings::endpoint& address)
+{
+    return loop_.listen(address, std::nullopt, [this](socket& stream) -> socket_handler* {
+        if (connections_.size() >= connections_max) {
+            return nullptr;
+        }
+        auto owned = std::make_unique<page_connection>(*this, stream);
+        page_connection* accepted = owned.get();
+        connections_.emplace(accepted, std::move(owned));
+        return accepted;
+    });
+}
+
+void page_server::forget(page_connection& gone)
+{
+    const auto found = connections_.find(&gone);
+    if (found != connections_.end()) {
+        loop_.retire(std::move(found->second));
+        connections_.erase(found);
+    }
+}
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/placement.cpp
@@ -0,0 +1,109 @@
+#include "http/placement.hpp"
+
+#include "http/front.hpp"
+#include "http/service_state.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace savoryscale::http {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A round ends after this also when probes are unanswered: their targets are slow or far.
+constexpr duration round_timeout = 12ms;
+
+constexpr routing::placement_options options;
+
+} // namespace
+
+placement::placement(front& owner, service_state& service,
+                     std::vector<routing::target_index> exclude, done_function done)
+    : front_{owner}, service_{service}, exclude_{std::move(exclude)}, done_{std::move(done)}
+{
+}
+
+placement::~placement()
+{
+    front_.loop().cancel(round_timer_);
+}
+
+void placement::start()
+{
+    begin_round();
+}
+
+void placement::begin_round()
+{
+    ++rounds_;
+    const auto candidates =
+        routing::probe_candidates(service_.view_, exclude_, options.round_size_,
+                                  front_.loop().now(), front_.random());
+    exclude_.insert(exclude_.end(), candidates.begin(), candidates.end());
+    pending_ = candidates.size();
+    if (candidates.empty()) {
+        finish();
+        return;
+    }
+    round_timer_ = front_.loop().after(round_timeout, [this] {
+        round_timer_ = 0;
+        end_round();
+    });
+    const std::weak_ptr<placement> self = weak_from_this();
+    const std::size_t round = rounds_;
+    for (const routing::target_index target : candidates) {
+        front_.probe_now(service_, target, [self, target, round](const auto& load, bool usable) {
+            if (const auto alive = self.lock()) {
+                alive->on_probe(round, {target, load}, usable);
+            }
+        });
+    }
+}
+
+// Answers to probes of an earlier round count like those of this one.
+void placement::on_probe(std::size_t round, const routing::probed_target& answered, bool usable)
+{
+    if (!done_) {
+        return;
+    }
+    if (usable) {
+        probed_.push_back(answered);
+    }
+    if (round == rounds_ && pending_ > 0) {
+        --pending_;
+    }
+    const bool good =
+        usable && routing::is_good_enough(service_.view_, {&probed_.back(), 1}, front_.loop().now());
+    if (good || pending_ == 0) {
+        end_round();
+    }
+}
+
+void placement::end_round()
+{
+    front_.loop().cancel(std::exchange(round_timer_, 0));
+    pending_ = 0;
+    const bool good = routing::is_good_enough(service_.view_, probed_, front_.loop().now());
+    if (good || rounds_ >= options.rounds_max_) {
+        finish();
+        return;
+    }
+    begin_round();
+}
+
+void placement::finish()
+{
+    if (!done_) {
+        return;
+    }
+    placement_result result;
+    result.placed_ = routing::place(service_.view_, probed_, options, front_.loop().now(),
+                                    front_.random());
+    result.retry_after_ = routing::expected_slot(service_.view_, probed_);
+    result.probed_ = probed_;
+    std::exchange(done_, {})(result);
+}
+
+} // namespace savoryscale::http
--- a/src/http/probe_exchange.cpp
+++ b/src/http/probe_exchange.cpp
@@ -56,13 +56,14 @@
     connection.request_ended();
 }
 
-void probe_exchange::on_answer_head(const answer_head& head)
+bool probe_exchange::on_answer_head(const answer_head& head)
 {
     status_ = head.status_;
     from_fields_ = read_load(head);
     for (const header_field& field : head.fields_) {
         bytes_ += field.name_.size() + field.value_.size() + 4; // ": " and the line's end
     }
+    return true;
 }
 
 void probe_exchange::on_answer_body(std::string_view bytes)
--- a/src/http/probe_exchange.hpp
+++ b/src/http/probe_exchange.hpp
@@ -41,7 +41,7 @@
     bool start(connection_pool& pool);
 
     void on_ready(upstream_connection& connection) override;
-    void on_answer_head(const answer_head& head) override;
+    bool on_answer_head(const answer_head& head) override;
     void on_answer_body(std::string_view bytes) override;
     void on_answer_complete() override;
     void on_failed(exchange_failure failure) override;
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -4,9 +4,12 @@
 #include "http/connection_pool.hpp"
 #include "http/front.hpp"
 #include "http/head_text.hpp"
+#include "http/log_fields.hpp"
+#include "http/placement.hpp"
 #include "http/refusal_answer.hpp"
 #include "http/upstream_connection.hpp"
 #include "routing/service_view.hpp"
+#include "telemetry/log.hpp"
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -23,12 +26,6 @@
 
 using namespace std::chrono_literals;
 
-// A connection that does not open within this time counts as refused.
-constexpr duration open_timeout = 300ms;
-
-// A connection that shows nothing of an answer for this long may have gone silent for good.
-constexpr duration silent_after = 250ms;
-
 // A caller whose request broke a connection is answered after this, so that a suspicion has reached
 // the other hosts before the caller can send the request through them.
 constexpr duration suspicion_hold = 50ms;
@@ -36,26 +33,29 @@
 // The first bytes of a body tell requests apart when one is suspected of crashing targets.
 constexpr std::size_t fingerprint_bytes = 1024;
 
+// Callers that come before a desired state is known are asked to return after this.
+constexpr duration start_retry = 200ms;
+
 constexpr int status_not_found = 404;
+constexpr int status_too_large = 413;
 constexpr int status_unavailable = 503;
 constexpr int status_version = 505;
-constexpr int status_server_error = 500; // and above
 
 bool is_among(const std::vector<std::string>& names, std::string_view name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-// The deadline the caller asks for, never beyond the service's own.
-duration deadline_of(const request_head& head, const settings::service& service)
+// The deadline the caller asks for, never beyond `longest`.
+duration deadline_of(const request_head& head, std::string_view field, duration longest)
 {
-    const std::string_view text = find_field(head, deadline_field);
+    const std::string_view text = find_field(head, field);
     std::int64_t asked_ms = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), asked_ms);
     if (text.empty() || parsed.ec != std::errc{} || asked_ms <= 0) {
-        return service.deadline_;
+        return longest;
     }
-    return std::min<duration>(service.deadline_, std::chrono::milliseconds{asked_ms});
+    return std::min<duration>(longest, std::chrono::milliseconds{asked_ms});
 }
 
 } // namespace
@@ -88,15 +88,27 @@
                                     front_.config().tracing_.sample_ratio_, front_.random(), now,
                                     telemetry::wall_clock_ns());
     customer_ = find_field(head_, front_.config().customer_header_);
-    service_ = front_.find_service(head_.target_);
+    request_id_ = find_field(head_, front_.config().header_names_.request_id_);
+    routes_ = front_.routes();
     if (head_.version_ != 11) {
         refuse({status_version, "not-run", "use HTTP/1.1", std::nullopt, false});
         return;
     }
-    if (service_ == nullptr) {
-        refuse({status_not_found, "not-run", "no service has this path", std::nullopt, false});
+    if (!routes_) {
+        refuse({status_unavailable, "not-run", "no desired state is known on this host yet; use another",
+                duration{start_retry}, false});
+        return;
+    }
+    route_ = routes::find_route(*routes_, find_field(head_, "Host"), head_.target_);
+    if (route_ == nullptr) {
+        refuse({status_not_found, "not-run", "no route has this host and path", std::nullopt, false});
+        return;
+    }
+    if (head_.content_length_.value_or(0) > front_.limits().max_body_bytes_) {
+        refuse({status_too_large, "not-run", "the body is over the limit", std::nullopt, false});
         return;
     }
+    service_ = &front_.service_of(*route_);
     const auto verdict = front_.admit(customer_, *service_);
     if (trace_.sampled_) {
         telemetry::span admission_span = telemetry::child_span(
@@ -111,12 +123,25 @@
     }
     admitted_ = true;
 
-    const settings::service& config = *service_->config_;
+    const settings::service& config = service_->config_;
     const bool has_body = head_.chunked_ || head_.content_length_.value_or(0) > 0;
-    state_.rules_.repeatable_ = is_among(config.repeatable_methods_, head_.method_);
+    using routes::repeat_rule;
+    state_.rules_.repeatable_ =
+        route_->repeat_ == repeat_rule::always ||
+        (route_->repeat_ == repeat_rule::by_method &&
+         is_among(config.repeatable_methods_, head_.method_));
+    state_.rules_.attempts_max_ = static_cast<std::uint8_t>(
+        std::clamp<std::size_t>(route_->attempts_max_, 1, dispatch::attempts_max));
     state_.rules_.may_retry_ = !has_field(head_, no_retry_field);
     state_.rules_.may_hedge_ = config.hedge_ && !has_body;
-    deadline_ = now + deadline_of(head_, config);
+    const duration longest = route_->timeout_ > duration::zero() ? route_->timeout_
+                                                                 : duration{config.deadline_};
+    deadline_ = now + deadline_of(head_, front_.config().header_names_.deadline_, longest);
+    telemetry::decided("request_routed", request_id_,
+                       {{"route", route_->name_},
+                        {"service", config.name_},
+                        {"version", std::to_string(routes_->state_.version_)},
+                        {"left_ms", log_ms(deadline_ - now)}});
     deadline_timer_ = front_.loop().at(deadline_, [this] { on_deadline(); });
     if (equal_ignoring_case(find_field(head_, "Expect"), "100-continue")) {
         caller_.send_continue();
@@ -129,6 +154,11 @@
         return;
     }
     body_bytes_ += bytes.size();
+    if (body_bytes_ > front_.limits().max_body_bytes_ && !dispatch::may_have_run(state_)) {
+        execute(dispatch::caller_left(state_));
+        refuse({status_too_large, "not-run", "the body is over the limit", std::nullopt, false});
+        return;
+    }
     attempt_exchange* receiver = nullptr;
     for (attempt_exchange& exchange : exchanges_) {
         if (exchange.live_ && exchange.ready_) {
@@ -216,7 +246,7 @@
             note_progress();
             break;
         case dispatch::action_kind::answer:
-            if (state_.broken_count_ > 0) {
+            if (state_.broken_count_ > 0 && front_.has_peers()) {
                 answer_timer_ = front_.loop().after(suspicion_hold, [this, item] { answer(item); });
             }
             else {
@@ -224,6 +254,9 @@
             }
             return;
         case dispatch::action_kind::break_caller:
+            telemetry::decided("request_broken_off", request_id_,
+                               {{"why", "the answer ended early after it had been begun"},
+                                {"taken_ms", log_ms(front_.loop().now() - started_)}});
             finish();
             count_end(telemetry::request_end::broken_off);
             caller_.break_off();
@@ -236,178 +269,18 @@
 void proxied_call::answer(const dispatch::action& decided)
 {
     const bool not_run = decided.outcome_ == dispatch::outcome::not_run;
+    const auto retry_after =
+        not_run ? std::optional<duration>{front_.retry_after(retry_after_)} : std::nullopt;
+    log_refusal(decided.status_, dispatch::to_string(decided.outcome_), retry_after);
     finish();
     count_end(not_run ? telemetry::request_end::not_run : telemetry::request_end::unknown);
     caller_.answer_locally({decided.status_, dispatch::to_string(decided.outcome_),
                             not_run ? "the request was not run; it is safe to send it again"
                                     : "the request may have run; find out before repeating it",
-                            not_run ? std::optional<duration>{front_.retry_after()} : std::nullopt,
+                            retry_after,
                             false});
 }
 
-void proxied_call::open_attempt(dispatch::attempt_id id)
-{
-    attempt_exchange& attempt = exchanges_[id];
-    upstream_connection* connection = acquire_target(attempt);
-    if (connection == nullptr) {
-        execute(dispatch::attempt_ended(state_, id, dispatch::attempt_failure::no_target, false));
-        return;
-    }
-    if (!attempt.ready_) {
-        attempt.connection_ = connection;
-        attempt.open_timer_ = front_.loop().after(open_timeout, [this, &attempt] {
-            attempt.open_timer_ = 0;
-            std::exchange(attempt.connection_, nullptr)->abandon();
-            front_.target_refused(*service_, attempt.target_);
-            fail_attempt(attempt, dispatch::attempt_failure::unsent);
-        });
-    }
-}
-
-// Chooses a target that has a connection to give. Targets tried before are left out while others
-// remain; a hedge never goes to the same target again.
-upstream_connection* proxied_call::acquire_target(attempt_exchange& attempt)
-{
-    const time_point now = front_.loop().now();
-    std::vector<routing::target_index> exclude;
-    for (std::size_t i = 0; i < attempt.id_; ++i) {
-        exclude.push_back(exchanges_[i].target_);
-    }
-    while (const auto target = routing::choose(service_->view_, exclude, now, front_.random())) {
-        connection_pool& pool = front_.pool_of(*service_, *target);
-        const std::string name = front_.target_name(*service_, *target);
-        if (!pool.has_room() ||
-            admission::runs_other_suspect(front_.quarantined(), fingerprint_, name, now)) {
-            exclude.push_back(*target);
-            continue;
-        }
-        attempt.live_ = true;
-        attempt.ready_ = false;
-        attempt.target_ = *target;
-        attempt.pool_ = &pool;
-        attempt.target_name_ = name;
-        attempt.started_ = now;
-        attempt.sent_ = now;
-        attempt.request_id_ = front_.next_request_id();
-        attempt.span_ = telemetry::make_span_id(front_.random());
-        routing::attempt_started(service_->view_, *target, now);
-        upstream_connection* connection = pool.acquire(&attempt, !state_.rules_.repeatable_);
-        if (connection != nullptr) {
-            pool.keep_one_warm();
-            return connection;
-        }
-        report_end(attempt, routing::attempt_end::abandoned, false);
-        exclude.push_back(*target);
-    }
-    return nullptr;
-}
-
-void proxied_call::send_request(attempt_exchange& attempt)
-{
-    const time_point now = front_.loop().now();
-    front_.loop().cancel(std::exchange(attempt.open_timer_, 0));
-    attempt.sent_ = now;
-    dispatch::attempt_sent(state_, attempt.id_);
-    admission::started(front_.quarantined(), fingerprint_, attempt.target_name_, now);
-
-    forwarded_fields added;
-    added.traceparent_ = telemetry::outgoing_traceparent(trace_, attempt.span_);
-    added.request_id_ = attempt.request_id_;
-    added.remaining_ = deadline_ - now;
-    added.inner_retries_ = false;
-    upstream_connection& connection = *attempt.connection_;
-    connection.send_head(upstream_request_text(head_, added), head_.method_ == "HEAD");
-    if (!body_.empty()) {
-        send_body_to(connection, body_);
-        if (body_.size() > replay_bytes_max) {
-            state_.body_replayable_ = false;
-            body_.clear();
-            caller_.resume_reading();
-        }
-    }
-    if (request_ended_) {
-        end_request_on(connection);
-    }
-    arm_hedge();
-}
-
-void proxied_call::send_body_to(upstream_connection& connection, std::string_view bytes)
-{
-    connection.send_body(head_.chunked_ ? chunk_text(bytes) : std::string{bytes});
-}
-
-void proxied_call::end_request_on(upstream_connection& connection)
-{
-    if (head_.chunked_) {
-        connection.send_body(chunk_text({}));
-    }
-    connection.request_ended();
-}
-
-void proxied_call::cancel_attempt(dispatch::attempt_id id)
-{
-    attempt_exchange& attempt = exchanges_[id];
-    front_.loop().cancel(std::exchange(attempt.open_timer_, 0));
-    if (!attempt.live_) {
-        return;
-    }
-    const bool unanswered = attempt.status_ == 0 && attempt.ready_;
-    if (unanswered && front_.loop().now() - attempt.sent_ >= silent_after) {
-        attempt.pool_->distrust_before(attempt.sent_);
-    }
-    std::exchange(attempt.connection_, nullptr)->abandon();
-    const bool failed_answer = attempt.status_ >= status_server_error;
-    report_end(attempt,
-               failed_answer       ? routing::attempt_end::failed
-               : deadline_reached_ ? routing::attempt_end::timeout
-                                   : routing::attempt_end::abandoned,
-               false);
-}
-
-// Tells routing and quarantine that the attempt is over. `finished`: with a complete answer.
-void proxied_call::report_end(attempt_exchange& attempt, routing::attempt_end end, bool finished)
-{
-    if (!std::exchange(attempt.live_, false)) {
-        return;
-    }
-    const time_point now = front_.loop().now();
-    if (finished && attempt.status_ >= status_server_error) {
-        end = routing::attempt_end::failed;
-    }
-    routing::attempt_ended(service_->view_, {attempt.target_, end, attempt.latency_, attempt.load_},
-                           now);
-    if (end == routing::attempt_end::broken) {
-        front_.request_broke(*service_, attempt.target_, fingerprint_);
-    }
-    else if (attempt.ready_) {
-        front_.request_ended(fingerprint_, attempt.target_name_, finished);
-    }
-    front_.metrics().attempts_[end].Increment();
-    record_attempt(attempt, finished);
-}
-
-void proxied_call::fail_attempt(attempt_exchange& attempt, dispatch::attempt_failure failure)
-{
-    front_.loop().cancel(std::exchange(attempt.open_timer_, 0));
-    attempt.connection_ = nullptr;
-    report_end(attempt,
-               failure == dispatch::attempt_failure::shed     ? routing::attempt_end::shed
-               : failure == dispatch::attempt_failure::unsent ? routing::attempt_end::crashed
-                                                              : routing::attempt_end::broken,
-               false);
-    const time_point now = front_.loop().now();
-    const bool suspect = admission::refused(front_.quarantined(), fingerprint_, now);
-    // What never left this host cost no upstream anything, and needs no budget.
-    const bool free = failure == dispatch::attempt_failure::unsent;
-    const bool granted = !suspect && now < deadline_ &&
-                         dispatch::wants_retry(state_, attempt.id_, failure) &&
-                         (free || routing::take_retry(service_->view_, now));
-    if (granted) {
-        front_.metrics().retries_.Increment();
-    }
-    execute(dispatch::attempt_ended(state_, attempt.id_, failure, granted));
-}
-
 // Spans of an attempt that is over: the attempt from its choice, and the passing on of its answer.
 void proxied_call::record_attempt(const attempt_exchange& attempt, bool finished)
 {
@@ -468,6 +341,10 @@
 {
     if (!finished_) {
         execute(dispatch::caller_left(state_));
+        telemetry::decided("request_abandoned", request_id_,
+                           {{"why", "the caller left"},
+                            {"taken_ms", log_ms(front_.loop().now() - started_)},
+                            {"attempts", std::to_string(state_.attempt_count_)}});
         finish();
         count_end(telemetry::request_end::caller_left);
     }
@@ -489,7 +366,7 @@
     if (state_.phase_ != dispatch::call_phase::answering) {
         return;
     }
-    progress_due_ = front_.loop().now() + service_->config_->body_idle_timeout_;
+    progress_due_ = front_.loop().now() + service_->config_.body_idle_timeout_;
     if (progress_timer_ == 0) {
         progress_timer_ = front_.loop().at(progress_due_, [this] { check_progress(); });
     }
@@ -510,6 +387,7 @@
 
 void proxied_call::refuse(local_answer refusal)
 {
+    log_refusal(refusal.status_, refusal.text_, refusal.retry_after_);
     finish();
     count_end(telemetry::request_end::not_run);
     caller_.answer_locally(std::move(refusal));
@@ -522,6 +400,22 @@
     front_.metrics().request_duration_.Observe(std::chrono::duration<double>(taken).count());
 }
 
+void proxied_call::log_refusal(int status, std::string_view why,
+                               std::optional<duration> retry_after) const
+{
+    telemetry::decided("request_refused", request_id_,
+                       {{"status", std::to_string(status)},
+                        {"why", std::string{why}},
+                        {"retry_after_ms", retry_after ? log_ms(*retry_after) : ""},
+                        {"taken_ms", log_ms(front_.loop().now() - started_)},
+                        {"attempts", std::to_string(state_.attempt_count_)}});
+}
+
+duration proxied_call::time_left() const
+{
+    return deadline_ - front_.loop().now();
+}
+
 // Releases what the call holds. Safe to call again.
 void proxied_call::finish()
 {
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -11,26 +11,35 @@
 #include "http/event_loop.hpp"
 #include "http/head.hpp"
 #include "http/head_text.hpp"
+#include "routes/table.hpp"
 #include "routing/target.hpp"
 #include "telemetry/metrics.hpp"
 #include "telemetry/trace.hpp"
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace savoryscale::http {
 
 class caller_connection;
 class connection_pool;
 class front;
+class placement;
+struct placement_result;
 struct service_state;
 
 // A request's body is held for another attempt up to this size; beyond it, it streams once.
 inline constexpr std::size_t replay_bytes_max = 65536;
 
+// An answer is held until it is whole, so that one that breaks off can be replaced; a longer one is
+// passed on as it comes.
+inline constexpr std::size_t held_answer_max = 131072;
+
 // Bytes queued towards one side, caller or target, at which reading from the other pauses.
 inline constexpr std::size_t queue_high_bytes = 262144;
 
@@ -73,6 +82,15 @@
     void answer(const dispatch::action& decided);
     void open_attempt(dispatch::attempt_id id);
     upstream_connection* acquire_target(attempt_exchange& attempt);
+    upstream_connection* acquire_connection(attempt_exchange& attempt, routing::target_index target);
+    std::vector<routing::target_index> tried_targets(dispatch::attempt_id before) const;
+    void connect_attempt(attempt_exchange& attempt, upstream_connection* connection);
+    void begin_placement(attempt_exchange& attempt);
+    void on_placed(attempt_exchange& attempt, const placement_result& found);
+    void take_answer(attempt_exchange& attempt);
+    void log_answer(const attempt_exchange& attempt) const;
+    duration time_left() const;
+    void log_refusal(int status, std::string_view why, std::optional<duration> retry_after) const;
     void send_request(attempt_exchange& attempt);
     void send_body_to(upstream_connection& connection, std::string_view bytes);
     void end_request_on(upstream_connection& connection);
@@ -91,6 +109,8 @@
     front& front_;
     caller_connection& caller_;
     request_head head_;
+    std::shared_ptr<const routes::table> routes_; // keeps route_ while the call lasts
+    const routes::route* route_ = nullptr;
     service_state* service_ = nullptr;
     dispatch::call state_;
     std::array<attempt_exchange, dispatch::attempts_max> exchanges_;
@@ -99,6 +119,8 @@
     timer_id claim_timer_ = 0;
     telemetry::call_trace trace_;
     std::string customer_;
+    std::string request_id_; // as the caller sent it, for the log
+    std::optional<duration> retry_after_; // when a slot is expected; none: not known
     std::string body_; // what of the request's body is held, from its beginning while replayable
     std::uint64_t body_bytes_ = 0;
     admission::fingerprint fingerprint_ = 0;
--- /dev/null
+++ b/src/http/proxied_call_attempts.cpp
@@ -0,0 +1,304 @@
+// The part of a call that finds targets for its attempts, sends them, and hears how they end.
+
+#include "http/caller_connection.hpp"
+#include "http/connection_pool.hpp"
+#include "http/front.hpp"
+#include "http/head_text.hpp"
+#include "http/log_fields.hpp"
+#include "http/placement.hpp"
+#include "http/proxied_call.hpp"
+#include "http/service_state.hpp"
+#include "http/upstream_connection.hpp"
+#include "routing/service_view.hpp"
+#include "telemetry/log.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace savoryscale::http {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A connection that does not open within this time counts as refused.
+constexpr duration open_timeout = 300ms;
+
+// A connection that shows nothing of an answer for this long may have gone silent for good.
+constexpr duration silent_after = 250ms;
+
+// Of the expected time until an answer, the part that must be left for the request to be sent.
+constexpr double expected_part = 0.8;
+
+constexpr int status_server_error = 500; // and above
+
+} // namespace
+
+void proxied_call::open_attempt(dispatch::attempt_id id)
+{
+    attempt_exchange& attempt = exchanges_[id];
+    if (service_->view_.policy_ == routing::policy::probed) {
+        begin_placement(attempt);
+        return;
+    }
+    connect_attempt(attempt, acquire_target(attempt));
+}
+
+void proxied_call::connect_attempt(attempt_exchange& attempt, upstream_connection* connection)
+{
+    if (connection == nullptr) {
+        execute(dispatch::attempt_ended(state_, attempt.id_, dispatch::attempt_failure::no_target,
+                                        false));
+        return;
+    }
+    if (!attempt.ready_) {
+        attempt.connection_ = connection;
+        attempt.open_timer_ = front_.loop().after(open_timeout, [this, &attempt] {
+            attempt.open_timer_ = 0;
+            std::exchange(attempt.connection_, nullptr)->abandon();
+            front_.target_refused(*service_, attempt.target_);
+            fail_attempt(attempt, dispatch::attempt_failure::unsent);
+        });
+    }
+}
+
+std::vector<routing::target_index> proxied_call::tried_targets(dispatch::attempt_id before) const
+{
+    std::vector<routing::target_index> tried;
+    for (std::size_t i = 0; i < before; ++i) {
+        if (exchanges_[i].pool_ != nullptr) {
+            tried.push_back(exchanges_[i].target_);
+        }
+    }
+    return tried;
+}
+
+void proxied_call::begin_placement(attempt_exchange& attempt)
+{
+    const auto search = std::make_shared<placement>(
+        front_, *service_, tried_targets(attempt.id_),
+        [this, &attempt](const placement_result& found) { on_placed(attempt, found); });
+    attempt.placing_ = search;
+    search->start();
+}
+
+void proxied_call::on_placed(attempt_exchange& attempt, const placement_result& found)
+{
+    attempt.placing_.reset();
+    const duration left = time_left();
+    const bool in_time =
+        found.placed_ &&
+        std::chrono::duration<double>{found.placed_->expected_}.count() * expected_part <
+            std::chrono::duration<double>{left}.count();
+    std::string loads;
+    for (const routing::probed_target& one : found.probed_) {
+        if (one.load_) {
+            loads += log_load(front_.target_name(*service_, one.target_), *one.load_);
+        }
+    }
+    telemetry::decided(
+        "attempt_placed", request_id_,
+        {{"attempt", std::to_string(attempt.id_)},
+         {"target", found.placed_ ? front_.target_name(*service_, found.placed_->target_) : ""},
+         {"expected_ms", found.placed_ ? log_ms(found.placed_->expected_) : ""},
+         {"left_ms", log_ms(left)},
+         {"in_time", in_time ? "yes" : "no"},
+         {"probed", loads}});
+    if (!in_time) {
+        retry_after_ = found.retry_after_;
+        connect_attempt(attempt, nullptr);
+        return;
+    }
+    connect_attempt(attempt, acquire_connection(attempt, found.placed_->target_));
+}
+
+// Chooses a target that has a connection to give. Targets tried before are left out while others
+// remain; a hedge never goes to the same target again.
+upstream_connection* proxied_call::acquire_target(attempt_exchange& attempt)
+{
+    const time_point now = front_.loop().now();
+    std::vector<routing::target_index> exclude = tried_targets(attempt.id_);
+    while (const auto target = routing::choose(service_->view_, exclude, now, front_.random())) {
+        if (upstream_connection* connection = acquire_connection(attempt, *target)) {
+            return connection;
+        }
+        exclude.push_back(*target);
+    }
+    return nullptr;
+}
+
+// A connection of the target's pool for the attempt; none when the pool has none to give, or when
+// another suspected request runs there.
+upstream_connection* proxied_call::acquire_connection(attempt_exchange& attempt,
+                                                      routing::target_index target)
+{
+    const time_point now = front_.loop().now();
+    connection_pool& pool = front_.pool_of(*service_, target);
+    const std::string name = front_.target_name(*service_, target);
+    if (!pool.has_room() ||
+        admission::runs_other_suspect(front_.quarantined(), fingerprint_, name, now)) {
+        return nullptr;
+    }
+    attempt.live_ = true;
+    attempt.ready_ = false;
+    attempt.target_ = target;
+    attempt.pool_ = &pool;
+    attempt.target_name_ = name;
+    attempt.instance_ = service_->view_.targets_[target].info_.id_;
+    attempt.started_ = now;
+    attempt.sent_ = now;
+    attempt.request_id_ = front_.config().header_names_.caller_sets_request_id_
+                              ? request_id_
+                              : front_.next_request_id();
+    attempt.span_ = telemetry::make_span_id(front_.random());
+    routing::attempt_started(service_->view_, target, now);
+    upstream_connection* connection = pool.acquire(&attempt, !state_.rules_.repeatable_);
+    if (connection == nullptr) {
+        report_end(attempt, routing::attempt_end::abandoned, false);
+        return nullptr;
+    }
+    if (service_->view_.policy_ != routing::policy::probed) {
+        pool.keep_one_warm();
+    }
+    return connection;
+}
+
+void proxied_call::send_request(attempt_exchange& attempt)
+{
+    const time_point now = front_.loop().now();
+    front_.loop().cancel(std::exchange(attempt.open_timer_, 0));
+    attempt.sent_ = now;
+    dispatch::attempt_sent(state_, attempt.id_);
+    admission::started(front_.quarantined(), fingerprint_, attempt.target_name_, now);
+
+    forwarded_fields added;
+    added.traceparent_ = telemetry::outgoing_traceparent(trace_, attempt.span_);
+    added.request_id_ = attempt.request_id_;
+    added.remaining_ = deadline_ - now;
+    added.inner_retries_ = false;
+    upstream_connection& connection = *attempt.connection_;
+    added.expect_instance_ = attempt.instance_;
+    connection.send_head(upstream_request_text(head_, added, front_.config().header_names_),
+                         head_.method_ == "HEAD");
+    if (!body_.empty()) {
+        send_body_to(connection, body_);
+        if (body_.size() > replay_bytes_max) {
+            state_.body_replayable_ = false;
+            body_.clear();
+            caller_.resume_reading();
+        }
+    }
+    if (request_ended_) {
+        end_request_on(connection);
+    }
+    arm_hedge();
+}
+
+void proxied_call::send_body_to(upstream_connection& connection, std::string_view bytes)
+{
+    connection.send_body(head_.chunked_ ? chunk_text(bytes) : std::string{bytes});
+}
+
+void proxied_call::end_request_on(upstream_connection& connection)
+{
+    if (head_.chunked_) {
+        connection.send_body(chunk_text({}));
+    }
+    connection.request_ended();
+}
+
+void proxied_call::cancel_attempt(dispatch::attempt_id id)
+{
+    attempt_exchange& attempt = exchanges_[id];
+    front_.loop().cancel(std::exchange(attempt.open_timer_, 0));
+    attempt.placing_.reset();
+    if (!attempt.live_) {
+        return;
+    }
+    const bool unanswered = attempt.status_ == 0 && attempt.ready_;
+    if (unanswered && front_.loop().now() - attempt.sent_ >= silent_after) {
+        attempt.pool_->distrust_before(attempt.sent_);
+    }
+    std::exchange(attempt.connection_, nullptr)->abandon();
+    const bool failed_answer = attempt.status_ >= status_server_error;
+    report_end(attempt,
+               failed_answer       ? routing::attempt_end::failed
+               : deadline_reached_ ? routing::attempt_end::timeout
+                                   : routing::attempt_end::abandoned,
+               false);
+}
+
+// Tells routing and quarantine that the attempt is over. `finished`: with a complete answer.
+void proxied_call::report_end(attempt_exchange& attempt, routing::attempt_end end, bool finished)
+{
+    if (!std::exchange(attempt.live_, false)) {
+        return;
+    }
+    const time_point now = front_.loop().now();
+    if (finished && attempt.status_ >= status_server_error) {
+        end = routing::attempt_end::failed;
+    }
+    routing::attempt_ended(service_->view_, {attempt.target_, end, attempt.latency_, attempt.load_},
+                           now);
+    if (end == routing::attempt_end::broken) {
+        front_.request_broke(*service_, attempt.target_, fingerprint_);
+    }
+    else if (attempt.ready_) {
+        front_.request_ended(fingerprint_, attempt.target_name_, finished);
+    }
+    front_.metrics().attempts_[end].Increment();
+    telemetry::decided("attempt_ended", request_id_,
+                       {{"attempt", std::to_string(attempt.id_)},
+                        {"target", attempt.target_name_},
+                        {"instance", attempt.instance_},
+                        {"end", std::string{to_string(end)}},
+                        {"status", std::to_string(attempt.status_)},
+                        {"taken_ms", log_ms(now - attempt.sent_)}});
+    record_attempt(attempt, finished);
+}
+
+// Passes on what has come of the attempt's answer; with its first bytes the other attempts end.
+void proxied_call::take_answer(attempt_exchange& attempt)
+{
+    if (!std::exchange(attempt.passing_, true)) {
+        const dispatch::actions todo = dispatch::answer_begun(state_, attempt.id_, false);
+        caller_.begin_answer(attempt.head_);
+        execute(todo);
+    }
+    note_progress();
+    caller_.answer_body(attempt.held_);
+    attempt.held_.clear();
+}
+
+void proxied_call::log_answer(const attempt_exchange& attempt) const
+{
+    telemetry::decided("request_answered", request_id_,
+                       {{"status", std::to_string(attempt.status_)},
+                        {"target", attempt.target_name_},
+                        {"attempts", std::to_string(state_.attempt_count_)},
+                        {"taken_ms", log_ms(front_.loop().now() - started_)}});
+}
+
+void proxied_call::fail_attempt(attempt_exchange& attempt, dispatch::attempt_failure failure)
+{
+    front_.loop().cancel(std::exchange(attempt.open_timer_, 0));
+    attempt.connection_ = nullptr;
+    report_end(attempt,
+               failure == dispatch::attempt_failure::shed     ? routing::attempt_end::shed
+               : failure == dispatch::attempt_failure::unsent ? routing::attempt_end::crashed
+                                                              : routing::attempt_end::broken,
+               false);
+    const time_point now = front_.loop().now();
+    const bool suspect = admission::refused(front_.quarantined(), fingerprint_, now);
+    // What never left this host cost no upstream anything, and needs no budget.
+    const bool free = failure == dispatch::attempt_failure::unsent;
+    const bool granted = !suspect && now < deadline_ &&
+                         dispatch::wants_retry(state_, attempt.id_, failure) &&
+                         (free || routing::take_retry(service_->view_, now));
+    if (granted) {
+        front_.metrics().retries_.Increment();
+    }
+    execute(dispatch::attempt_ended(state_, attempt.id_, failure, granted));
+}
+
+} // namespace savoryscale::http
--- a/src/http/proxied_call_claim.cpp
+++ b/src/http/proxied_call_claim.cpp
@@ -22,7 +22,7 @@
     const std::string_view key = find_field(head_, idempotency_key_field);
     const std::string_view prefix = std::string_view{body_}.substr(0, replay_bytes_max);
     dispatch::idempotency_claim claim;
-    claim.object_key_ = dispatch::idempotency_object_key(service_->config_->name_, customer_, key);
+    claim.object_key_ = dispatch::idempotency_object_key(service_->config_.name_, customer_, key);
     claim.record_ = {front_.next_request_id(),
                      dispatch::request_digest(head_.method_, head_.target_, prefix),
                      front_.config().host_.id_,
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -22,7 +22,7 @@
 };
 
 struct service_state {
-    const settings::service* config_ = nullptr;
+    settings::service config_;
     routing::service_view view_;
     std::map<routing::target_index, target_connections> targets_;
     std::vector<routing::target_info> listed_;
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -4,6 +4,8 @@
 
 #include <libwebsockets.h>
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -19,9 +21,23 @@
 // Consumed output is dropped from the front of the queue once it is this long.
 constexpr std::size_t compact_bytes = 262144;
 
+// A silent connection ends about two seconds after its other side was last heard.
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+constexpr int unacknowledged_max_ms = 2000;
+
 // A reader that takes nothing for this long is given up.
 constexpr duration stall_limit = std::chrono::seconds{30};
 
+// A connection that was reset has no peer any more; one that the peer ended still has.
+bool is_peer_known(lws* wsi)
+{
+    sockaddr_storage peer{};
+    socklen_t length = sizeof peer;
+    return ::getpeername(lws_get_socket_fd(wsi), reinterpret_cast<sockaddr*>(&peer), &length) == 0;
+}
+
 } // namespace
 
 socket::socket(event_loop& loop, socket_handler* handler) : loop_{loop}, handler_{handler} {}
@@ -58,6 +74,19 @@
     }
 }
 
+void socket::keep_alive()
+{
+    const int descriptor = lws_get_socket_fd(wsi_);
+    const auto set = [descriptor](int level, int option, int value) {
+        ::setsockopt(descriptor, level, option, &value, sizeof value);
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
+    set(IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_max_ms);
+}
+
 void socket::close()
 {
     handler_ = nullptr;
@@ -180,6 +209,7 @@
 
 void socket::handle_closed()
 {
+    ended_in_order_ = wsi_ != nullptr && connected_ && is_peer_known(wsi_);
     wsi_ = nullptr;
     killed_ = true;
     socket_handler* handler = std::exchange(handler_, nullptr);
--- a/src/http/socket.hpp
+++ b/src/http/socket.hpp
@@ -62,9 +62,16 @@
     void pause_reading();
     void resume_reading();
 
+    // Has the kernel probe the other side while it is silent, and end the connection without an answer.
+    void keep_alive();
+
     // Closes at once, dropping queued bytes. The handler is not called any more.
     void close();
 
+    // Whether the other side ended the connection in order, after all it had to send. Meant for
+    // on_closed.
+    [[nodiscard]] bool ended_in_order() const { return ended_in_order_; }
+
     // Sends what is queued, then ends the sending side, discards input, and closes when the other
     // side has, or after `linger` once it has taken everything. The handler is not called any more.
     void finish(duration linger);
@@ -97,6 +104,7 @@
     bool flush_queued_ = false;   // the loop will hand the queue to the kernel
     bool reading_ = true;
     bool finishing_ = false;
+    bool ended_in_order_ = false;
     bool killed_ = false;
     bool want_close_ = false; // the callback in progress must tell the library to close
 };
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -37,6 +37,7 @@
 {
     exchange_ = exchange;
     head_delivered_ = false;
+    skipping_ = false;
     head_sent_ = false;
     request_ended_ = false;
     written_before_ = stream_ == nullptr ? 0 : stream_->bytes_written();
@@ -91,6 +92,9 @@
 void upstream_connection::on_connected()
 {
     open_ = true;
+    if (pool_.keeps_alive()) {
+        stream_->keep_alive();
+    }
     last_proof_ = pool_.loop().now();
     if (exchange_ != nullptr) {
         exchange_->on_ready(*this);
@@ -131,13 +135,16 @@
     }
     upstream_exchange* const receiver = exchange_;
     if (!head_delivered_) {
-        if (reader_.ends_with_connection()) {
-            fail(); // its end could not be told from a broken connection
-            return;
-        }
         head_delivered_ = true;
         last_proof_ = pool_.loop().now();
-        receiver->on_answer_head(reader_.head());
+        skipping_ = !receiver->on_answer_head(reader_.head());
+        if (exchange_ != receiver) {
+            return;
+        }
+    }
+    if (skipping_) {
+        skip();
+        return;
     }
     if (exchange_ == receiver && !body_.empty()) {
         receiver->on_answer_body(body_);
@@ -147,6 +154,24 @@
     }
 }
 
+// Reads past an answer to an earlier request, towards the one that is awaited.
+void upstream_connection::skip()
+{
+    body_.clear();
+    if (!reader_.complete()) {
+        return;
+    }
+    ++pool_.skipped();
+    skipping_ = false;
+    head_delivered_ = false;
+    reader_.next(head_request_);
+    if (!reader_.feed({}, body_)) {
+        fail();
+        return;
+    }
+    deliver();
+}
+
 void upstream_connection::complete()
 {
     const bool surplus = reader_.pending_bytes() > 0;
@@ -182,7 +207,15 @@
 void upstream_connection::on_closed()
 {
     const bool left = request_left();
+    const bool in_order = stream_->ended_in_order();
     stream_ = nullptr;
+    if (exchange_ != nullptr && head_delivered_ && !skipping_ && in_order &&
+        reader_.ends_with_connection()) {
+        upstream_exchange* const receiver = std::exchange(exchange_, nullptr);
+        pool_.connection_closed(*this);
+        receiver->on_answer_complete();
+        return;
+    }
     upstream_exchange* const receiver = std::exchange(exchange_, nullptr);
     const bool was_open = open_;
     if (!was_open) {
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -67,6 +67,7 @@
 
 private:
     void deliver();
+    void skip();
     void complete();
     void fail();
 
@@ -80,6 +81,7 @@
     bool spare_;
     bool open_ = false;
     bool head_delivered_ = false;
+    bool skipping_ = false; // the answer being read belongs to an earlier request
     bool head_sent_ = false;
     bool request_ended_ = false;
     bool head_request_ = false;
--- a/src/http/upstream_exchange.hpp
+++ b/src/http/upstream_exchange.hpp
@@ -24,7 +24,8 @@
 public:
     // The connection is open and nobody else's: send the request.
     virtual void on_ready(upstream_connection& connection) = 0;
-    virtual void on_answer_head(const answer_head& head) = 0;
+    // False: the answer is to an earlier request. It is skipped, and the next one is awaited.
+    virtual bool on_answer_head(const answer_head& head) = 0;
     virtual void on_answer_body(std::string_view bytes) = 0;
     virtual void on_answer_complete() = 0;
     virtual void on_failed(exchange_failure failure) = 0;
--- /dev/null
+++ b/src/http/whole_exchange.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+// One small request whose whole answer is wanted within a time: a probe, or a call on the store.
+
+#include "base/clock.hpp"
+#include "http/head.hpp"
+#include "http/timer_queue.hpp"
+#include "http/upstream_exchange.hpp"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace savoryscale::http {
+
+class connection_pool;
+class event_loop;
+class upstream_connection;
+
+// The answer, or why there is none.
+struct whole_answer {
+    enum class end : std::uint8_t {
+        answered,
+        not_sent, // no connection, or it closed before the request left
+        refused,  // the connection could not be opened
+        broken,   // the connection closed, or the answer was malformed or too long
+        timeout,
+    };
+    end end_ = end::not_sent;
+    answer_head head_;
+    std::string body_;
+};
+
+class whole_exchange final : public upstream_exchange {
+public:
+    using done_function = std::function<void(const whole_answer&)>;
+
+    whole_exchange(event_loop& loop, std::string request, std::size_t body_max);
+    ~whole_exchange();
+    whole_exchange(const whole_exchange&) = delete;
+    whole_exchange& operator=(const whole_exchange&) = delete;
+    whole_exchange(whole_exchange&&) = delete;
+    whole_exchange& operator=(whole_exchange&&) = delete;
+
+    // Begins; `done` is run once, perhaps from inside. False when the pool has no connection, and
+    // then `done` is not run.
+    bool start(connection_pool& pool, duration timeout, done_function done);
+
+    void on_ready(upstream_connection& connection) override;
+    bool on_answer_head(const answer_head& head) override;
+    void on_answer_body(std::string_view bytes) override;
+    void on_answer_complete() override;
+    void on_failed(exchange_failure failure) override;
+
+private:
+    void give_up(whole_answer::end end);
+    void finish(whole_answer::end end);
+
+    event_loop& loop_;
+    std::string request_;
+    std::size_t body_max_;
+    upstream_connection* connection_ = nullptr;
+    connection_pool* pool_ = nullptr;
+    time_point started_{};
+    timer_id timer_ = 0;
+    whole_answer answer_;
+    done_function done_;
+};
+
+} // namespace savoryscale::http
--- a/src/routing/ejection.cpp
+++ b/src/routing/ejection.cpp
@@ -15,6 +15,7 @@
 constexpr double failures_to_eject = 0.5;     // of the target's recent attempts
 constexpr double failures_over_others = 0.25; // more than the service's mean
 constexpr duration ejection_first = std::chrono::seconds{1};
+constexpr duration unanswered_ejection = std::chrono::milliseconds{500};
 constexpr std::uint32_t doublings_max = 5;
 constexpr std::uint32_t successes_to_forget = 20;
 constexpr double failure_fade_ns = 1e9;
@@ -70,6 +71,11 @@
     }
 }
 
+void eject_unanswering(target_state& target, time_point now)
+{
+    target.ejected_until_ = std::max(target.ejected_until_, now + unanswered_ejection);
+}
+
 bool is_in_use(const target_state& target, time_point now)
 {
     return now >= target.ejected_until_ && !(target.on_trial_ && target.in_flight_ > 0);
--- a/src/routing/ejection.hpp
+++ b/src/routing/ejection.hpp
@@ -18,6 +18,9 @@
 // When all targets fail alike, none stands out.
 void count_outcome(service_view&, target_state&, attempt_end, time_point now);
 
+// The target did not answer a probe. It is left out for half a second, then probed again.
+void eject_unanswering(target_state&, time_point now);
+
 // Whether the target may get an attempt: not ejected, and one at a time until its first success
 // after an ejection.
 bool is_in_use(const target_state&, time_point now);
--- /dev/null
+++ b/src/routing/placement.cpp
@@ -0,0 +1,154 @@
+#include "routing/placement.hpp"
+
+#include "routing/ejection.hpp"
+#include "routing/service_view.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace savoryscale::routing {
+
+namespace {
+
+// Units of cost are the usual time of one request's work.
+constexpr double last_slot_cost = 1.3;  // targets slow down when they are nearly full
+constexpr double cold_factor = 2;       // a target that has just started
+constexpr double far_cost = 0.05;       // in another data centre
+constexpr double failure_cost = 4;      // that fails every time while others never do
+constexpr double usual_slowdown = 1.25; // up to which a target counts as not slowed
+constexpr double unknown_work_ns = 1e8; // before any answer was seen
+
+double work_ns(const service_view& view)
+{
+    return view.mean_latency_ns_ > 0 ? view.mean_latency_ns_ : unknown_work_ns;
+}
+
+double slots_of(const service_view& view, const target_state& target, const load_report& load)
+{
+    const double told = load.slots_ > 0 ? load.slots_ : target.info_.slots_;
+    return std::max(1.0, told > 0 ? told : view.slots_per_target_);
+}
+
+// Requests at the target: what it told, and own ones that may not have reached it yet.
+double requests_at(const target_state& target, const probed_target& probed)
+{
+    const double told = probed.load_ ? probed.load_->requests_in_flight_ : 0;
+    return std::max(told, static_cast<double>(target.in_flight_));
+}
+
+bool is_cold(const target_state& target, time_point now)
+{
+    return target.warm_at_ > now;
+}
+
+struct cost {
+    double wait_ = 0; // before its work begins
+    double work_ = 1;
+    double extra_ = 0; // to prefer others by, without delaying the answer
+
+    [[nodiscard]] double total() const { return wait_ + work_ + extra_; }
+};
+
+cost cost_of(const service_view& view, const probed_target& probed, time_point now)
+{
+    const target_state& target = view.targets_[probed.target_];
+    const load_report load = probed.load_.value_or(load_report{});
+    const double slots = slots_of(view, target, load);
+    const double ahead = requests_at(target, probed);
+    double speed = std::max(load.slowdown_, 0.1);
+    if (is_cold(target, now)) {
+        speed *= cold_factor;
+    }
+    cost sum;
+    sum.work_ = speed * (ahead + 1 >= slots ? last_slot_cost : 1);
+    if (ahead >= slots) {
+        sum.wait_ = (ahead - slots + 1) / slots * speed * last_slot_cost;
+    }
+    sum.extra_ = failure_cost * failures_above_mean(view, target, now);
+    if (target.info_.data_centre_ != view.data_centre_) {
+        sum.extra_ += far_cost;
+    }
+    return sum;
+}
+
+bool is_full(const service_view& view, const probed_target& probed,
+             const placement_options& options)
+{
+    const target_state& target = view.targets_[probed.target_];
+    const double slots = slots_of(view, target, probed.load_.value_or(load_report{}));
+    return requests_at(target, probed) >= slots * (1 + options.queue_max_);
+}
+
+} // namespace
+
+std::vector<target_index> probe_candidates(service_view& view,
+                                           std::span<const target_index> exclude, std::size_t count,
+                                           time_point now, random_source& random)
+{
+    std::vector<target_index> chosen;
+    std::vector<target_index> seen{exclude.begin(), exclude.end()};
+    while (chosen.size() < count) {
+        const auto next = choose(view, seen, now, random);
+        if (!next) {
+            break;
+        }
+        chosen.push_back(*next);
+        seen.push_back(*next);
+    }
+    return chosen;
+}
+
+bool is_good_enough(const service_view& view, std::span<const probed_target> probed, time_point now)
+{
+    return std::any_of(probed.begin(), probed.end(), [&](const probed_target& one) {
+        const target_state& target = view.targets_[one.target_];
+        const load_report load = one.load_.value_or(load_report{});
+        return requests_at(target, one) + 1 < slots_of(view, target, load) + 0.5 &&
+               requests_at(target, one) < 1 && load.slowdown_ <= usual_slowdown &&
+               !is_cold(target, now) && is_in_use(target, now) &&
+               failures_above_mean(view, target, now) < 0.1;
+    });
+}
+
+std::optional<placed_attempt> place(const service_view& view, std::span<const probed_target> probed,
+                                    const placement_options& options, time_point now,
+                                    random_source& random)
+{
+    std::optional<placed_attempt> best;
+    double best_cost = 0;
+    std::uint64_t equals = 1;
+    for (const probed_target& one : probed) {
+        if (is_full(view, one, options)) {
+            continue;
+        }
+        const cost own = cost_of(view, one, now);
+        const double total = own.total();
+        const bool replaces = !best || total < best_cost ||
+                              (total == best_cost && uniform_below(random, ++equals) == 0);
+        if (!replaces) {
+            continue;
+        }
+        if (!best || total < best_cost) {
+            equals = 1;
+        }
+        best_cost = total;
+        const double expected = view.mean_latency_ns_ * (own.wait_ + own.work_);
+        best = placed_attempt{one.target_, duration{static_cast<std::int64_t>(expected)}};
+    }
+    return best;
+}
+
+duration expected_slot(const service_view& view, std::span<const probed_target> probed)
+{
+    double soonest = 1;
+    for (const probed_target& one : probed) {
+        const target_state& target = view.targets_[one.target_];
+        const load_report load = one.load_.value_or(load_report{});
+        const double slots = slots_of(view, target, load);
+        const double over = std::max(0.0, requests_at(target, one) - slots);
+        soonest = std::min(soonest, (over + 1) / slots * std::max(load.slowdown_, 0.1));
+    }
+    return duration{static_cast<std::int64_t>(soonest * work_ns(view))};
+}
+
+} // namespace savoryscale::routing
--- /dev/null
+++ b/src/routing/placement.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+// Places one attempt by probing a few targets just before it is sent. It answers two loads: targets
+// whose neighbours slow them for some hundred milliseconds at a time, and many entry hosts with few
+// requests each, so that what a host remembers of a target is old before it is used.
+//
+// Candidates are probed in rounds. A round ends the search when it shows a target that is free and
+// not slowed; otherwise the best of all rounds is taken, if it can answer in time.
+
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "routing/target.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace savoryscale::routing {
+
+struct service_view;
+
+// What a probe has told a moment ago.
+struct probed_target {
+    target_index target_ = 0;
+    std::optional<load_report> load_; // none: it answered without a word on its load
+};
+
+struct placement_options {
+    std::size_t round_size_ = 4; // targets probed at once
+    std::size_t rounds_max_ = 3;
+    double queue_max_ = 1; // requests waiting at a target, per slot, that another may join
+};
+
+// The targets to probe next, the most promising first; none of those in `exclude`.
+std::vector<target_index> probe_candidates(service_view&, std::span<const target_index> exclude,
+                                           std::size_t count, time_point now, random_source&);
+
+// Whether the search may end: one of them would start the attempt at once, at its usual speed.
+bool is_good_enough(const service_view&, std::span<const probed_target>, time_point now);
+
+// The target that would answer first, with the time until then. None when all are full.
+struct placed_attempt {
+    target_index target_ = 0;
+    duration expected_{}; // to the end of its work; zero when nothing is known of the service yet
+};
+std::optional<placed_attempt> place(const service_view&, std::span<const probed_target>,
+                                    const placement_options&, time_point now, random_source&);
+
+// When a slot is likely to be free at one of the targets that were probed.
+duration expected_slot(const service_view&, std::span<const probed_target>);
+
+} // namespace savoryscale::routing
--- a/src/routing/policy.hpp
+++ b/src/routing/policy.hpp
@@ -16,12 +16,13 @@
     least_requests, // fewest own requests in flight
     power_of_two,   // the one of two random targets with fewer own requests in flight
     hot_cold,       // Prequal: probe pool, hot and cold by a quantile of requests in flight
-    least_wait      // shortest expected wait, from every signal discounted by its age
+    least_wait,     // shortest expected wait, from every signal discounted by its age
+    probed          // probes a few just before sending; see placement.hpp
 };
 
 // Their names in settings, in the order of the enumeration.
-inline constexpr std::array<std::string_view, 6> policy_names{
-    "random", "round_robin", "least_requests", "power_of_two", "hot_cold", "least_wait"};
+inline constexpr std::array<std::string_view, 7> policy_names{
+    "random", "round_robin", "least_requests", "power_of_two", "hot_cold", "least_wait", "probed"};
 
 // The policy of that name, none when there is none.
 constexpr std::optional<policy> policy_named(std::string_view name)
--- a/src/routing/selection.cpp
+++ b/src/routing/selection.cpp
@@ -120,6 +120,7 @@
     case policy::power_of_two:
         return pick_power_of_two(view, eligible, random);
     case policy::least_wait:
+    case policy::probed: // among those that it probes, and where probes tell nothing
         return pick_least_wait(view, eligible, now, random);
     case policy::hot_cold:
         return pick_hot_cold(view, eligible, now, random);
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -80,6 +80,7 @@
         if (view.listed_once_) {
             fresh.born_ = now;
         }
+        fresh.warm_at_ = now + info.warm_up_;
         view.targets_.push_back(std::move(fresh));
     }
     return place->second;
@@ -93,6 +94,7 @@
     fresh.in_flight_ = target.in_flight_;
     fresh.started_ = std::move(target.started_);
     fresh.born_ = now;
+    fresh.warm_at_ = now + info.warm_up_;
     target = std::move(fresh);
 }
 
@@ -194,7 +196,7 @@
     if (eligible.empty()) {
         return std::nullopt;
     }
-    if (view.policy_ == policy::least_wait) {
+    if (view.policy_ == policy::least_wait || view.policy_ == policy::probed) {
         drop_ejected(view, eligible, now);
     }
     return select(view, eligible, now, random);
@@ -261,6 +263,11 @@
     }
 }
 
+void probe_failed(service_view& view, target_index index, time_point now)
+{
+    eject_unanswering(view.targets_.at(index), now);
+}
+
 std::optional<duration> hedge_after(const service_view& view, time_point /*now*/)
 {
     const bool is_short_of_capacity = in_use(view) > hedge_in_use_max;
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -79,6 +79,9 @@
 // The probe's answer; none when it failed or timed out.
 void probe_ended(service_view&, target_index, std::optional<load_report>, time_point now);
 
+// A target did not answer a probe, or said that it takes no requests: it is left out for a while.
+void probe_failed(service_view&, target_index, time_point now);
+
 // How long a repeatable request waits before a second attempt starts beside the first. None when
 // hedging is off, too little is known, the service is short of capacity, or the budget is spent.
 // Call take_hedge when it starts.
--- a/src/routing/target.hpp
+++ b/src/routing/target.hpp
@@ -5,9 +5,12 @@
 #include "base/clock.hpp"
 #include "settings/settings.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace savoryscale::routing {
 
@@ -20,6 +23,9 @@
     std::string data_centre_;
     bool leaving_ = false;
     std::uint64_t incarnation_ = 0; // grows when the target restarts at the same address
+    std::string id_{};              // that requests can be bound to; empty: none
+    std::uint32_t slots_ = 0;       // requests it runs at once; 0: not told
+    duration warm_up_{};            // how much longer it is slow after its start
 };
 
 // Load as a target reports it, in an answer's headers or in a probe's answer.
@@ -28,6 +34,8 @@
         0;                   // of all hosts, waiting or running, less the one that carries it
     double utilization_ = 0; // 0 to 1 of its slots
     bool draining_ = false;
+    double slots_ = 0;    // requests it runs at once; 0: not told
+    double slowdown_ = 1; // how long work takes there now; 1: as usual
 };
 
 // How one attempt ended, as far as routing cares.
@@ -41,6 +49,14 @@
     abandoned // cancelled by us: the caller left, or a hedge won
 };
 
+// In words, for logs and metrics.
+constexpr std::string_view to_string(attempt_end end)
+{
+    constexpr std::array<std::string_view, 7> names{"answered", "failed",  "shed",     "broken",
+                                                    "crashed",  "timeout", "abandoned"};
+    return names[static_cast<std::size_t>(end)];
+}
+
 // The end of one attempt. `latency_` runs from the sending to the end of the header.
 struct attempt_report {
     target_index target_ = 0;
--- a/src/routing/target_state.hpp
+++ b/src/routing/target_state.hpp
@@ -27,6 +27,7 @@
     std::optional<heard_load> load_;
     std::optional<time_point> drain_heard_; // the target said that it drains
     std::optional<time_point> born_;        // start of the slow start; none: warm
+    time_point warm_at_{};                  // until then it has said to be slow
     double failure_ratio_ = 0;              // moving average over attempts
     std::uint32_t outcomes_ = 0;            // attempts counted since the last ejection
     time_point outcome_at_{};               // of the last one
--- a/src/settings/json_node.hpp
+++ b/src/settings/json_node.hpp
@@ -123,6 +123,14 @@
     }
 }
 
+// Seconds, fractions allowed.
+inline void read(const json_node& at, std::chrono::duration<double>& out, limits bounds)
+{
+    double number = out.count();
+    read(at, number, bounds);
+    out = std::chrono::duration<double>{number};
+}
+
 template<class T>
 void read(const json_node& at, std::optional<T>& out, limits bounds)
 {
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -24,6 +24,7 @@
 constexpr limits file_length{1, 4096};
 constexpr limits timeout_ms{1, 3'600'000};
 constexpr limits short_time_ms{0, 600'000};
+constexpr limits short_time_s{0, 600};
 constexpr limits per_second{0, 1'000'000};
 constexpr limits curve_key_length{40, 40};
 
@@ -150,6 +151,8 @@
     in.optional("idle_timeout_ms", out.idle_timeout_, timeout_ms);
     in.optional("header_timeout_ms", out.header_timeout_, timeout_ms);
     in.optional("stop_lag_ms", out.stop_lag_, short_time_ms);
+    in.optional("grace_s", out.grace_, short_time_s);
+    in.optional("fractional_retry_after", out.fractional_retry_after_);
     in.reject_unknown();
 }
 
@@ -193,7 +196,8 @@
 static void check_service(const object_reader& in, const service& out)
 {
     const auto& methods = out.repeatable_methods_;
-    in.check(is_path(out.path_prefix_), "path_prefix", "is no path", path_remedy);
+    in.check(out.path_prefix_.empty() || is_path(out.path_prefix_), "path_prefix", "is no path",
+             path_remedy);
     in.check(is_path(out.probe_path_), "probe_path", "is no path", path_remedy);
     in.check(std::all_of(methods.begin(), methods.end(), is_token), "repeatable_methods",
              "holds what is no method", token_remedy);
@@ -210,12 +214,9 @@
     }
 }
 
-static void read(const json_node& at, service& out, limits /*bounds*/)
+// What holds for a service wherever its name, its routes and its targets come from.
+static void read_common(object_reader& in, service& out)
 {
-    object_reader in{at};
-    required_name(in, "name", out.name_);
-    in.required("path_prefix", out.path_prefix_, path_length);
-    in.optional("targets", out.targets_);
     in.optional("tls", out.tls_);
     in.optional("policy", out.policy_);
     in.optional("repeatable_methods", out.repeatable_methods_, {1, 32});
@@ -231,10 +232,75 @@
     in.optional("cold_start_ms", out.cold_start_, short_time_ms);
     in.optional("retry_ratio", out.retry_ratio_, {0, 1});
     in.optional("hedge", out.hedge_);
+}
+
+static void read(const json_node& at, service& out, limits /*bounds*/)
+{
+    object_reader in{at};
+    required_name(in, "name", out.name_);
+    in.required("path_prefix", out.path_prefix_, path_length);
+    in.optional("targets", out.targets_);
+    read_common(in, out);
     check_service(in, out);
     in.reject_unknown();
 }
 
+static void read(const json_node& at, header_names& out, limits /*bounds*/)
+{
+    object_reader in{at};
+    const auto name = [&in](std::string_view key, std::string& field) {
+        in.optional(key, field, {0, 128});
+        in.check(field.empty() || is_token(field), key, "is no header name", token_remedy);
+    };
+    name("request_id", out.request_id_);
+    name("deadline", out.deadline_);
+    name("seal", out.seal_);
+    name("expect_instance", out.expect_instance_);
+    name("instance", out.instance_);
+    name("load", out.load_);
+    in.optional("caller_sets_request_id", out.caller_sets_request_id_);
+    in.reject_unknown();
+}
+
+static void read(const json_node& at, readiness_listener& out, limits /*bounds*/)
+{
+    object_reader in{at};
+    in.required("address", out.address_);
+    in.optional("path", out.path_, path_length);
+    in.optional("metrics_path", out.metrics_path_, path_length);
+    in.check(is_path(out.path_), "path", "is no path", path_remedy);
+    in.check(is_path(out.metrics_path_), "metrics_path", "is no path", path_remedy);
+    in.reject_unknown();
+}
+
+// Stands for the settings that services of a directory share.
+struct service_defaults {
+    service& service_;
+};
+
+static void read(const json_node& at, service_defaults& out, limits /*bounds*/)
+{
+    object_reader in{at};
+    read_common(in, out.service_);
+    check_service(in, out.service_);
+    in.reject_unknown();
+}
+
+static void read(const json_node& at, directory& out, limits /*bounds*/)
+{
+    object_reader in{at};
+    in.required("store", out.store_);
+    in.optional("drain_s", out.drain_, short_time_s);
+    in.optional("configuration_s", out.configuration_, short_time_s);
+    in.optional("retry_window_s", out.retry_window_, short_time_s);
+    in.optional("retry_ratio", out.retry_ratio_, {0, 1});
+    in.optional("retry_slack", out.retry_slack_, {0, 1'000'000});
+    in.optional("probes_per_target", out.probes_per_target_, {0, 100'000});
+    service_defaults defaults{out.service_};
+    in.optional("service", defaults);
+    in.reject_unknown();
+}
+
 static void read(const json_node& at, tracing& out, limits /*bounds*/)
 {
     object_reader in{at};
@@ -250,6 +316,7 @@
     object_reader in{at};
     in.optional("json", out.json_);
     in.optional("level", out.level_);
+    in.optional("lines_per_second", out.lines_per_second_, {1, 1'000'000});
     in.check(std::find(levels.begin(), levels.end(), out.level_) != levels.end(), "level",
              "is no level", fmt::format("use one of: {}", fmt::join(levels, ", ")));
     in.reject_unknown();
@@ -279,12 +346,19 @@
     in.required("listen", out.listen_);
     in.optional("admin", out.admin_);
     in.optional("peer", out.peer_);
-    in.required("platform", out.platform_);
-    in.required("services", out.services_);
+    in.optional("directory", out.directory_);
+    if (out.directory_) {
+        in.required("ready", out.ready_);
+    }
+    else {
+        in.required("platform", out.platform_);
+        in.required("services", out.services_);
+        in.check(!out.services_.empty(), "services", "is empty", "name at least one service");
+    }
+    in.optional("header_names", out.header_names_);
     in.optional("tracing", out.tracing_);
     in.optional("logging", out.logging_);
     in.optional("customer_header", out.customer_header_, header_length);
-    in.check(!out.services_.empty(), "services", "is empty", "name at least one service");
     in.check(is_token(out.customer_header_), "customer_header", "is no header name", token_remedy);
     in.check(!out.admin_ || *out.admin_ != out.listen_.address_, "admin",
              "is the address of \"listen\" too", "give it a port of its own");
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -12,6 +12,7 @@
 namespace savoryscale::settings {
 
 using std::chrono::milliseconds;
+using seconds = std::chrono::duration<double>;
 
 // An IP number and a port. Names are not resolved anywhere.
 struct endpoint {
@@ -46,6 +47,8 @@
     milliseconds header_timeout_{
         10000};                   // from the first byte of a request to the end of its header
     milliseconds stop_lag_{3000}; // keeps accepting for this long after readiness fails
+    seconds grace_{0};            // from the order to stop until the end is forced; 0: never
+    bool fractional_retry_after_ = false; // callers read fractions of seconds there
 };
 
 // The exchange between entry hosts. CURVE keys are Z85, 40 characters.
@@ -93,6 +96,37 @@
     bool hedge_ = true;                 // repeatable requests only
 };
 
+// Names of the header fields that callers, entry hosts and targets exchange. An empty name: the field
+// is not used.
+struct header_names {
+    std::string request_id_ = "Savoryscale-Request-Id"; // echoed in answers
+    bool caller_sets_request_id_ = false;               // else each attempt gets one here
+    std::string deadline_ = "X-Deadline-Ms";            // milliseconds left
+    std::string seal_;            // of a target; without it no success is its answer
+    std::string expect_instance_; // towards a target: only the one of this id may run the request
+    std::string instance_;        // in a probe's answer: the target's id
+    std::string load_;            // "running,waiting,slots[,percent of the usual time]"
+};
+
+// Where readiness is asked for, and counters are read, of a host that follows a directory.
+struct readiness_listener {
+    endpoint address_;
+    std::string path_ = "/ready";
+    std::string metrics_path_ = "/metrics";
+};
+
+// Routes, services and targets come from a store that every entry host follows by itself.
+struct directory {
+    endpoint store_;
+    seconds drain_{2};            // within which a leaving target gets no new request
+    seconds configuration_{2};    // within which a desired state is in force
+    seconds retry_window_{10};    // over which second sends are counted
+    double retry_ratio_ = 0.2;    // second sends per request, of all hosts
+    double retry_slack_ = 50;     // second sends beyond that, of all hosts together
+    double probes_per_target_ = 40; // a second, of all hosts
+    service service_;             // what routes and targets do not tell of a service
+};
+
 // Where spans go.
 struct tracing {
     std::optional<endpoint> collector_; // OTLP/JSON over HTTP; none: spans are not kept
@@ -104,6 +138,7 @@
 struct logging {
     bool json_ = true;           // JSON lines; else plain text
     std::string level_ = "info"; // debug, info, warning, error
+    std::uint32_t lines_per_second_ = 500; // beyond it lines are dropped and counted
 };
 
 // All settings of one process.
@@ -114,6 +149,9 @@
     std::optional<peer_exchange> peer_;
     platform platform_;
     std::vector<service> services_;
+    std::optional<directory> directory_; // in place of platform_ and services_
+    std::optional<readiness_listener> ready_;
+    header_names header_names_;
     tracing tracing_;
     logging logging_;
     std::string customer_header_ = "X-Customer"; // names the customer of a request
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,5 +1,7 @@
 #include "telemetry/log.hpp"
 
+#include "telemetry/line_sink.hpp"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
@@ -18,6 +20,7 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <optional>
 #include <ostream>
 #include <stdexcept>
 
@@ -29,7 +32,7 @@
 using backend = sinks::text_ostream_backend;
 
 constexpr std::size_t queued_lines_max = 1024;
-using line_sink =
+using threaded_sink =
     sinks::asynchronous_sink<backend,
                              sinks::bounded_fifo_queue<queued_lines_max, sinks::drop_on_overflow>>;
 
@@ -37,8 +40,9 @@
 
 // What start_logging set up. The sink is shared with Boost.Log's core.
 struct log_state {
-    boost::shared_ptr<line_sink> sink_;
+    boost::shared_ptr<threaded_sink> sink_;
     std::atomic<bool> started_ = false;
+    std::optional<line_sink> lines_; // in place of sink_
     std::atomic<severity> lowest_ = severity::info;
     std::atomic<bool> json_ = true;
 };
@@ -98,7 +102,7 @@
     const auto lines = boost::make_shared<backend>();
     lines->add_stream(boost::shared_ptr<std::ostream>{&out, [](std::ostream*) {}});
     lines->auto_flush(true);
-    log.sink_ = boost::make_shared<line_sink>(lines);
+    log.sink_ = boost::make_shared<threaded_sink>(lines);
     log.sink_->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
     boost::log::core::get()->add_sink(log.sink_);
     log.started_ = true;
@@ -107,6 +111,12 @@
 void stop_logging()
 {
     log_state& log = state();
+    if (log.lines_) {
+        flush_log();
+        log.started_ = false;
+        log.lines_.reset();
+        return;
+    }
     if (!log.started_.exchange(false)) {
         return;
     }
@@ -123,10 +133,56 @@
         return;
     }
     const auto format = log.json_ ? format_json_line : format_plain_line;
+    if (log.lines_) {
+        state().lines_->append(format(utc_now(), level, event, fields), false, monotonic_now());
+        return;
+    }
     boost::log::sources::logger_mt source;
     BOOST_LOG(source) << format(utc_now(), level, event, fields);
 }
 
+void start_line_log(const settings::logging& config, int descriptor)
+{
+    log_state& log = state();
+    stop_logging();
+    log.lowest_ = parse_level(config.level_);
+    log.json_ = config.json_;
+    log.lines_.emplace(descriptor, line_sink_options{config.lines_per_second_});
+    log.started_ = true;
+}
+
+void flush_log()
+{
+    log_state& log = state();
+    if (!log.lines_) {
+        return;
+    }
+    if (const std::uint64_t dropped = log.lines_->take_dropped(); dropped > 0) {
+        state_change("log_lines_dropped", {{"lines", std::to_string(dropped)}}, severity::warning);
+    }
+    log.lines_->flush();
+}
+
+bool logs_decisions()
+{
+    return state().lines_.has_value() && state().lowest_ <= severity::info;
+}
+
+void decided(std::string_view event, std::string_view request_id,
+             std::initializer_list<log_field> fields)
+{
+    if (!logs_decisions()) {
+        return;
+    }
+    std::string line = fmt::format(R"({{"time":"{}","event":"{}","request":{})", utc_now(), event,
+                                   json_string(request_id));
+    for (const auto& [name, value] : fields) {
+        line += fmt::format(R"(,"{}":{})", name, json_string(value));
+    }
+    line.push_back('}');
+    state().lines_->append(line, true, monotonic_now());
+}
+
 std::string format_json_line(std::string_view time, severity level, std::string_view event,
                              std::initializer_list<log_field> fields)
 {
