List anew after a lost watch, and keep second sends within the fleet's slack

The store had dropped its history and cut the watch; a watch from before that was left waiting for ten seconds. Each host saved up 20 second sends, 260 in all. Ruled out: the backoff (one failure only was seen); a late answer of the store. Change: a failed call reads the list anew; a host saves up retry_slack / hosts_max.

--- a/src/directory/follow.cpp
+++ b/src/directory/follow.cpp
@@ -81,6 +81,8 @@
     const auto half = static_cast<std::uint64_t>(ceiling.count() / 2);
     state.due_ = now + duration{static_cast<std::int64_t>(half + uniform_below(random, half + 1))};
     state.after_.clear(); // pages of two moments are not put together
+    // A store that forgot its history may leave a watch from before that waiting; a list tells all.
+    state.listed_ = false;
 }
 
 } // namespace savoryscale::directory
--- a/src/directory/follower.cpp
+++ b/src/directory/follower.cpp
@@ -141,9 +141,10 @@
 void follower::fail(std::string why)
 {
     if (!state_.failing_since_) {
-        telemetry::state_change("store_lost", {{"kind", kind_}, {"why", std::move(why)}},
+        telemetry::state_change("store_lost", {{"kind", kind_}, {"why", why}},
                                 telemetry::severity::warning);
     }
+    telemetry::state_change("store_call_failed", {{"kind", kind_}, {"why", why}}, telemetry::severity::debug);
     on_call_failed(state_, loop_.now(), random_);
     schedule();
 }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -129,6 +129,10 @@
         routing::make_view(service, config_.host_.data_centre_,
                            routing::policy_named(service.policy_).value_or(routing::policy::least_wait));
     state.connection_cap_ = std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
+    if (config_.directory_) {
+        // All hosts together stay within the slack, in any window.
+        state.view_.retries_.most_ = config_.directory_->retry_slack_ / config_.host_.hosts_max_;
+    }
     state.probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
     state.probe_bytes_share_ = 1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
     apply_probe_share(state);
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -6,7 +6,7 @@
 
 void attempt_counted(retry_budget& budget)
 {
-    budget.extra_ = std::min(budget.extra_ + budget.ratio_, retry_budget_max);
+    budget.extra_ = std::min(budget.extra_ + budget.ratio_, budget.most_);
 }
 
 bool has_extra(const retry_budget& budget, double reserve)
--- a/src/routing/retry_budget.hpp
+++ b/src/routing/retry_budget.hpp
@@ -9,9 +9,9 @@
 struct retry_budget {
     double ratio_ = 0; // extra attempts per first attempt
     double extra_ = 0; // extra attempts saved up
+    double most_ = 20; // that can be saved up
 };
 
-inline constexpr double retry_budget_max = 20; // extra attempts that can be saved up
 inline constexpr double hedge_reserve = 2;     // saved up for retries before hedges may take any
 
 // Counts an attempt of any kind; an extra one has paid its part when it was taken.
