--- a/src/http/attempt_exchange.cpp
+++ b/src/http/attempt_exchange.cpp
@@ -75,7 +75,8 @@
         call.fail_attempt(*this, dispatch::attempt_failure::shed);
         return true;
     }
-    if (!is_whole_success_possible(head, names) || promises_not_run(head)) {
+    if (!is_whole_success_possible(head, names) ||
+        (call.front_.config().listen_.refusals_prove_not_run_ && promises_not_run(head))) {
         connection_->abandon();
         call.fail_attempt(*this, dispatch::attempt_failure::broken);
         return true;
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -153,6 +153,7 @@
     in.optional("stop_lag_ms", out.stop_lag_, short_time_ms);
     in.optional("grace_s", out.grace_, short_time_s);
     in.optional("fractional_retry_after", out.fractional_retry_after_);
+    in.optional("refusals_prove_not_run", out.refusals_prove_not_run_);
     in.reject_unknown();
 }
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -49,6 +49,8 @@
     milliseconds stop_lag_{3000}; // keeps accepting for this long after readiness fails
     seconds grace_{0};            // from the order to stop until the end is forced; 0: never
     bool fractional_retry_after_ = false; // callers read fractions of seconds there
+    // Callers take the statuses 408, 421, 429 and 503 as proof that their request has not run.
+    bool refusals_prove_not_run_ = false;
 };
 
 // The exchange between entry hosts. CURVE keys are Z85, 40 characters.
--- a/tests/support/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <chrono>
 #include <stdexcept>
 #include <utility>
 
@@ -91,6 +92,13 @@
     send_all(descriptor_, bytes);
 }
 
+void script_connection::reset()
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    const sockaddr nowhere{AF_UNSPEC, {}};
+    ::connect(descriptor_, &nowhere, sizeof nowhere);
+}
+
 void script_connection::close()
 {
     ::shutdown(descriptor_, SHUT_RDWR);
--- a/tests/support/fake_upstream.hpp
+++ b/tests/support/fake_upstream.hpp
@@ -24,6 +24,8 @@
     void send(std::string_view bytes);
     // Closes the connection. Later calls do nothing.
     void close();
+    // Resets the connection once the other side has had time to read. Later calls do nothing.
+    void reset();
     // Waits until the other side closes.
     void wait_for_close();
 
