--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -28,8 +28,8 @@
 
 struct placement_options {
     std::size_t round_size_ = 4; // targets probed at once
-    std::size_t rounds_max_ = 3;
-    double queue_max_ = 1; // requests waiting at a target, per slot, that another may join
+    std::size_t rounds_max_ = 4;
+    double queue_max_ = 0.5; // requests waiting at a target, per slot, that another may join
 };
 
 // The targets to probe next, the most promising first; none of those in `exclude`.
--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,284 @@
+// Placement by probes: the choice itself, and what callers get of it under the load that it answers.
+
+#include "routing/placement.hpp"
+#include "routing/service_view.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace savoryscale;
+using namespace std::chrono_literals;
+using routing::probed_target;
+using routing::target_index;
+
+namespace {
+
+routing::service_view view_of(int targets, routing::policy chosen, time_point now)
+{
+    settings::service service;
+    service.name_ = "ledger";
+    routing::service_view view = routing::make_view(service, "mobile", chosen);
+    std::vector<routing::target_info> all;
+    for (int i = 0; i < targets; ++i) {
+        routing::target_info info;
+        info.address_ = {"10.0.0." + std::to_string(i), 80};
+        info.data_centre_ = "mobile";
+        info.slots_ = 2;
+        all.push_back(info);
+    }
+    routing::update_targets(view, all, now);
+    return view;
+}
+
+probed_target probed(target_index target, double in_flight, double slowdown = 1)
+{
+    routing::load_report load;
+    load.requests_in_flight_ = in_flight;
+    load.slots_ = 2;
+    load.slowdown_ = slowdown;
+    return {target, load};
+}
+
+} // namespace
+
+TEST_GROUP(placement)
+{
+    time_point now = time_point{} + 100s;
+    random_source random{5};
+    routing::service_view view = view_of(4, routing::policy::probed, now);
+    routing::placement_options options;
+
+    std::optional<target_index> chosen(const std::vector<probed_target>& all)
+    {
+        const auto placed = routing::place(view, all, options, now, random);
+        return placed ? std::optional{placed->target_} : std::nullopt;
+    }
+};
+
+TEST(placement, a_free_target_at_its_usual_speed_ends_the_search)
+{
+    CHECK(routing::is_good_enough(view, std::vector{probed(0, 0)}, now));
+    CHECK(!routing::is_good_enough(view, std::vector{probed(0, 1)}, now));
+    CHECK(!routing::is_good_enough(view, std::vector{probed(0, 0, 4)}, now));
+    CHECK(!routing::is_good_enough(view, {}, now));
+}
+
+TEST(placement, prefers_free_to_busy_and_fast_to_slowed)
+{
+    LONGS_EQUAL(1, *chosen({probed(0, 1), probed(1, 0)}));
+    LONGS_EQUAL(0, *chosen({probed(0, 1), probed(1, 0, 4)}));
+    LONGS_EQUAL(1, *chosen({probed(0, 2), probed(1, 1)}));
+}
+
+TEST(placement, a_full_target_is_never_joined)
+{
+    CHECK(!chosen({probed(0, 3), probed(1, 6)}).has_value());
+    LONGS_EQUAL(0, *chosen({probed(0, 2), probed(1, 6)}));
+    CHECK(!chosen({}).has_value());
+}
+
+TEST(placement, own_attempts_on_their_way_count_as_load)
+{
+    for (int i = 0; i < 2; ++i) {
+        routing::attempt_started(view, 0, now);
+    }
+    LONGS_EQUAL(1, *chosen({probed(0, 0), probed(1, 1)}));
+}
+
+TEST(placement, a_target_that_fails_its_requests_is_taken_last)
+{
+    for (int i = 0; i < 10; ++i) {
+        routing::attempt_started(view, 0, now);
+        routing::attempt_ended(view, {0, routing::attempt_end::failed, 5ms, std::nullopt}, now);
+    }
+    LONGS_EQUAL(1, *chosen({probed(0, 0), probed(1, 1)}));
+}
+
+TEST(placement, one_that_has_just_started_is_slow)
+{
+    routing::target_info info = view.targets_[0].info_;
+    info.incarnation_ = 7;
+    info.warm_up_ = 3s;
+    std::vector<routing::target_info> all{info};
+    all.push_back(view.targets_[1].info_);
+    routing::update_targets(view, all, now);
+    LONGS_EQUAL(1, *chosen({probed(0, 0), probed(1, 1)}));
+    now += 4s;
+    LONGS_EQUAL(0, *chosen({probed(0, 0), probed(1, 1)}));
+}
+
+TEST(placement, candidates_are_not_probed_twice)
+{
+    const auto first = routing::probe_candidates(view, {}, 3, now, random);
+    LONGS_EQUAL(3, first.size());
+    const auto second = routing::probe_candidates(view, first, 3, now, random);
+    LONGS_EQUAL(1, second.size());
+    CHECK(std::find(first.begin(), first.end(), second[0]) == first.end());
+}
+
+namespace {
+
+// The load that placement answers, in virtual time: many hosts with few requests each, targets of two
+// slots whose neighbours slow them four times for a quarter of the time, some hundred milliseconds long.
+class noisy_farm {
+public:
+    static constexpr int target_count = 22;
+    static constexpr int host_count = 13;
+    static constexpr duration mean_work = 120ms;
+    static constexpr duration goal = 300ms;
+    static constexpr duration noise_period = 300ms;
+
+    noisy_farm(routing::policy chosen, std::uint64_t seed) : random_{seed}
+    {
+        for (int i = 0; i < host_count; ++i) {
+            hosts_.push_back(view_of(target_count, chosen, now_));
+        }
+        targets_.resize(target_count);
+    }
+
+    // The share of `requests`, arriving at `per_second`, that was answered within the goal.
+    double run(int requests, double per_second)
+    {
+        for (int i = 0; i < requests; ++i) {
+            now_ += from_seconds(-std::log(1 - uniform_unit(random_)) / per_second);
+            settle();
+            send(hosts_[uniform_below(random_, host_count)]);
+        }
+        return static_cast<double>(in_goal_) / requests;
+    }
+
+private:
+    struct target {
+        std::vector<time_point> busy_until_; // one for each request that has not ended
+        time_point noise_until_{};
+        double slowdown_ = 1;
+    };
+    struct running {
+        routing::service_view* host_;
+        target_index target_;
+        duration latency_;
+    };
+
+    static duration from_seconds(double seconds)
+    {
+        return duration{static_cast<std::int64_t>(seconds * 1e9)};
+    }
+
+    void settle()
+    {
+        for (target& each : targets_) {
+            if (now_ >= each.noise_until_) {
+                each.slowdown_ = uniform_unit(random_) < 0.25 ? 4 : 1;
+                each.noise_until_ =
+                    now_ + from_seconds(-0.3 * std::log(1 - uniform_unit(random_)));
+            }
+            std::erase_if(each.busy_until_, [&](time_point end) { return end <= now_; });
+        }
+        while (!ends_.empty() && ends_.begin()->first <= now_) {
+            const running ended = ends_.begin()->second;
+            routing::attempt_ended(
+                *ended.host_,
+                {ended.target_, routing::attempt_end::answered, ended.latency_, load_of(ended.target_)},
+                ends_.begin()->first);
+            ends_.erase(ends_.begin());
+        }
+    }
+
+    routing::load_report load_of(target_index index) const
+    {
+        const target& asked = targets_[index];
+        routing::load_report load;
+        load.requests_in_flight_ = static_cast<double>(asked.busy_until_.size());
+        load.slots_ = 2;
+        load.slowdown_ = asked.slowdown_;
+        return load;
+    }
+
+    std::optional<target_index> choose_target(routing::service_view& host)
+    {
+        if (host.policy_ != routing::policy::probed) {
+            return routing::choose(host, {}, now_, random_);
+        }
+        const routing::placement_options options;
+        std::vector<probed_target> all;
+        std::vector<target_index> seen;
+        for (std::size_t round = 0; round < options.rounds_max_; ++round) {
+            for (const target_index next :
+                 routing::probe_candidates(host, seen, options.round_size_, now_, random_)) {
+                seen.push_back(next);
+                all.push_back({next, load_of(next)});
+            }
+            if (routing::is_good_enough(host, all, now_)) {
+                break;
+            }
+        }
+        const auto placed = routing::place(host, all, options, now_, random_);
+        return placed ? std::optional{placed->target_} : std::nullopt;
+    }
+
+    void send(routing::service_view& host)
+    {
+        const auto index = choose_target(host);
+        if (!index) {
+            return;
+        }
+        target& taken = targets_[*index];
+        time_point begins = now_;
+        if (taken.busy_until_.size() >= 2) {
+            auto ends = taken.busy_until_;
+            std::sort(ends.begin(), ends.end());
+            begins = ends[ends.size() - 2];
+        }
+        const double spread = std::exp(0.3 * (uniform_unit(random_) + uniform_unit(random_) +
+                                              uniform_unit(random_) - 1.5) * 2);
+        const double seconds = std::chrono::duration<double>{mean_work}.count() * spread;
+        const time_point ends = begins + from_seconds(seconds * taken.slowdown_);
+        taken.busy_until_.push_back(ends);
+        in_goal_ += ends - now_ <= goal ? 1 : 0;
+        routing::attempt_started(host, *index, now_);
+        ends_.emplace(ends, running{&host, *index, ends - now_});
+    }
+
+    random_source random_;
+    time_point now_ = time_point{} + 100s;
+    std::vector<routing::service_view> hosts_;
+    std::vector<target> targets_;
+    std::multimap<time_point, running> ends_;
+    int in_goal_ = 0;
+};
+
+double share_in_goal(routing::policy chosen, double per_second)
+{
+    double sum = 0;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        sum += noisy_farm{chosen, seed}.run(3000, per_second) / 4;
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST_GROUP(placement_load){};
+
+// Half of those that miss the goal by the load in answers alone are answered in time.
+TEST(placement_load, many_hosts_and_noisy_targets_at_an_ordinary_load)
+{
+    const double remembered = share_in_goal(routing::policy::least_wait, 85);
+    const double by_probes = share_in_goal(routing::policy::probed, 85);
+    CHECK(by_probes > 0.95);
+    CHECK(1 - by_probes < (1 - remembered) / 2);
+}
+
+TEST(placement_load, many_hosts_and_noisy_targets_near_their_capacity)
+{
+    const double remembered = share_in_goal(routing::policy::least_wait, 170);
+    const double by_probes = share_in_goal(routing::policy::probed, 170);
+    CHECK(by_probes > remembered + 0.1);
+}
--- /dev/null
+++ b/tests/platform_adapter_test.cpp
@@ -0,0 +1,158 @@
+// What the users' platform writes, in the product's words; and what names nothing.
+
+#include "platform/dialect.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <string>
+
+using namespace savoryscale;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+const json server = json::parse(R"({"service":"huvo11a","address":"10.128.0.9:8080",
+    "zone":"mobile-a","version":"v1","slots":2,"state":"ready","warmup_left_s":1.5,"sequence":4})");
+
+const json state = json::parse(R"({"version":"r7","routes":[
+    {"name":"r-a","host":"ficu95.example","path_prefix":"/lohu930/","route_type":"safe","timeout_s":1,
+     "latency_goal_s":0.3,"priority":2,"max_attempts":2,
+     "traffic_split":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}]},
+    {"name":"r-x","host":"ficu95.example","path_prefix":"/pufi791/","route_type":"unsafe",
+     "timeout_s":1.2,"latency_goal_s":0.4,"priority":1,"service":"huvo11a","max_attempts":2},
+    {"name":"r-d","host":"ficu95.example","path_prefix":"/pule252/","route_type":"download",
+     "timeout_s":1,"service":"wuno96b","max_attempts":2}],
+  "services":[{"name":"huvo11a","health_path":"/health","max_conns":220,"protocol":"h1","tls":false},
+              {"name":"wuno96b","health_path":"/hp","max_conns":220,"protocol":"h1","tls":false}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,
+            "idle_timeout_s":15},"base_version":"r5"})");
+
+bool is_refused(const char* field, const json& value)
+{
+    json spoiled = server;
+    if (value.is_null()) {
+        spoiled.erase(field);
+    }
+    else {
+        spoiled[field] = json::parse(value.dump()); // numbers as they are read
+    }
+    return !platform::dialect().read_target_("i-1", spoiled).has_value();
+}
+
+} // namespace
+
+TEST_GROUP(platform_adapter)
+{
+    const directory::dialect& spoken = platform::dialect();
+};
+
+TEST(platform_adapter, reads_a_server_that_describes_itself)
+{
+    const auto entry = spoken.read_target_("i-1", server);
+    CHECK(entry.has_value());
+    STRCMP_EQUAL("huvo11a", entry->service_.c_str());
+    STRCMP_EQUAL("10.128.0.9", entry->address_.ip_.c_str());
+    LONGS_EQUAL(8080, entry->address_.port_);
+    LONGS_EQUAL(2, entry->slots_);
+    CHECK(!entry->leaving_);
+    CHECK(entry->warm_up_ == 1500ms);
+    json leaving = server;
+    leaving["state"] = "draining";
+    leaving["born"] = std::uint64_t{1'765'000'000'000};
+    CHECK(spoken.read_target_("i-1", leaving)->leaving_);
+    LONGS_EQUAL(1'765'000'000'000, spoken.read_target_("i-1", leaving)->born_ms_);
+}
+
+TEST(platform_adapter, an_entry_of_another_writer_names_no_target)
+{
+    for (const char* field : {"service", "address", "zone", "version", "slots", "state",
+                              "warmup_left_s", "sequence"}) {
+        CHECK(is_refused(field, json{}));
+        CHECK(is_refused(field, json::object()));
+    }
+    CHECK(is_refused("state", "gone"));
+    CHECK(is_refused("slots", 0));
+    CHECK(is_refused("slots", -2));
+    CHECK(is_refused("address", "10.128.0.9"));
+    CHECK(is_refused("address", "host.example:80"));
+    CHECK(is_refused("address", "10.128.0.9:99999"));
+    CHECK(is_refused("born", "yesterday"));
+    CHECK(is_refused("born", 1.5));
+    CHECK(!spoken.read_target_("i-1", json{}).has_value());
+    CHECK(!spoken.read_target_("i-1", json("text")).has_value());
+}
+
+TEST(platform_adapter, reads_a_desired_state_whole)
+{
+    const auto read = spoken.read_desired_state_(state);
+    CHECK(read.has_value());
+    LONGS_EQUAL(7, read->version_);
+    LONGS_EQUAL(3, read->routes_.size());
+    const routes::route& split = read->routes_[0];
+    LONGS_EQUAL(2, split.parts_.size());
+    DOUBLES_EQUAL(10, split.parts_[1].weight_, 0);
+    CHECK(split.timeout_ == 1s);
+    CHECK(split.goal_ == 300ms);
+    LONGS_EQUAL(2, split.attempts_max_);
+    CHECK(split.repeat_ == routes::repeat_rule::always);
+    CHECK(read->routes_[1].repeat_ == routes::repeat_rule::never);
+    CHECK(read->routes_[2].repeat_ == routes::repeat_rule::always);
+    STRCMP_EQUAL("/hp", read->services_[1].probe_path_.c_str());
+    LONGS_EQUAL(220, read->services_[0].connections_per_target_);
+    CHECK(read->limits_.header_timeout_ == 3s);
+    CHECK(read->limits_.idle_timeout_ == 15s);
+}
+
+TEST(platform_adapter, a_kind_that_is_not_known_is_never_repeated)
+{
+    json other = state;
+    other["routes"][0]["route_type"] = "keyed";
+    CHECK(spoken.read_desired_state_(other)->routes_[0].repeat_ == routes::repeat_rule::never);
+}
+
+TEST(platform_adapter, a_desired_state_that_cannot_be_read_whole_is_refused)
+{
+    for (const char* part : {"version", "routes", "services"}) {
+        json spoiled = state;
+        spoiled.erase(part);
+        CHECK(!spoken.read_desired_state_(spoiled).has_value());
+    }
+    json spoiled = state;
+    spoiled["version"] = "12";
+    CHECK(!spoken.read_desired_state_(spoiled).has_value());
+    spoiled = state;
+    spoiled["routes"][1].erase("service");
+    CHECK(!spoken.read_desired_state_(spoiled).has_value());
+}
+
+TEST(platform_adapter, reads_pages_and_changes_and_leaves_out_what_has_no_name)
+{
+    const auto page = spoken.read_list_(
+        R"({"items":[{"metadata":{"name":"i-1","revision":5,"created":3},"spec":{"a":1}},{"spec":{}},7],
+            "has_more":true,"store_revision":530})");
+    CHECK(page.has_value());
+    CHECK(page->more_);
+    LONGS_EQUAL(530, page->revision_);
+    LONGS_EQUAL(1, page->objects_.size());
+    const auto changes = spoken.read_changes_(
+        R"({"events":[{"deleted":true,"object":{"metadata":{"name":"i-1","revision":6}}},
+                      {"deleted":false,"object":{"metadata":{"name":"i-2","deleting":true},"spec":1}}],
+            "store_revision":533})");
+    CHECK(changes.has_value());
+    CHECK(changes->objects_[0].removed_);
+    CHECK(changes->objects_[1].removed_);
+    CHECK(!spoken.read_list_("{").has_value());
+    CHECK(!spoken.read_list_(R"({"items":[]})").has_value());
+    CHECK(!spoken.read_changes_(R"({"events":7,"store_revision":1})").has_value());
+}
+
+TEST(platform_adapter, spells_lists_and_watches)
+{
+    STRCMP_EQUAL("/-/objects/servers", spoken.call_path_("servers", {}).c_str());
+    STRCMP_EQUAL("/-/objects/servers?after=i-7", spoken.call_path_("servers", {false, "i-7", 0, {}}).c_str());
+    STRCMP_EQUAL("/-/objects/config?watch=530&wait_ms=20000",
+                 spoken.call_path_("config", {true, {}, 530, 20s}).c_str());
+}
--- /dev/null
+++ b/tests/routes_test.cpp
@@ -0,0 +1,115 @@
+// Routes by host and longest prefix, and the split of a route's requests.
+
+#include "routes/split.hpp"
+#include "routes/table.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <string>
+
+using namespace savoryscale;
+using routes::route;
+
+namespace {
+
+route make_route(std::string name, std::string host, std::string prefix)
+{
+    route made;
+    made.name_ = std::move(name);
+    made.host_ = std::move(host);
+    made.path_prefix_ = std::move(prefix);
+    made.parts_.push_back({"ledger", 1});
+    return made;
+}
+
+std::string found(const routes::table& all, std::string_view host, std::string_view target)
+{
+    const route* one = routes::find_route(all, host, target);
+    return one == nullptr ? "none" : one->name_;
+}
+
+} // namespace
+
+TEST_GROUP(routes)
+{
+    routes::table all = routes::make_table({3,
+                                            {make_route("root", "a.example", "/"),
+                                             make_route("lots", "a.example", "/lots/"),
+                                             make_route("old", "a.example", "/lots/old/"),
+                                             make_route("other", "b.example", "/lots/"),
+                                             make_route("loose", "", "/photo"),
+                                             make_route("any", "", "/photos/")},
+                                            {},
+                                            {}});
+};
+
+TEST(routes, the_longest_prefix_of_the_host_wins)
+{
+    STRCMP_EQUAL("old", found(all, "a.example", "/lots/old/7").c_str());
+    STRCMP_EQUAL("lots", found(all, "a.example", "/lots/older").c_str());
+    STRCMP_EQUAL("lots", found(all, "a.example", "/lots/").c_str());
+    STRCMP_EQUAL("root", found(all, "a.example", "/lots").c_str());
+    STRCMP_EQUAL("other", found(all, "b.example", "/lots/old/7").c_str());
+}
+
+TEST(routes, a_port_a_query_and_case_of_the_host_are_left_out)
+{
+    STRCMP_EQUAL("lots", found(all, "A.Example:8080", "/lots/7?next=/lots/old/").c_str());
+    STRCMP_EQUAL("none", found(all, "[fd00::1]:80", "/lots/7").c_str());
+}
+
+TEST(routes, a_route_for_any_host_comes_after_those_that_name_it)
+{
+    STRCMP_EQUAL("root", found(all, "a.example", "/photos/1").c_str());
+    STRCMP_EQUAL("any", found(all, "c.example", "/photos/1").c_str());
+    STRCMP_EQUAL("loose", found(all, "c.example", "/photo-1").c_str());
+    STRCMP_EQUAL("none", found(all, "c.example", "/lots/7").c_str());
+}
+
+TEST_GROUP(split)
+{
+    random_source random{7};
+    routes::split_state state;
+
+    // How many of `count` requests each of two parts takes.
+    std::array<int, 2> take(double first, double second, int count)
+    {
+        const std::array<routes::route_part, 2> parts{{{"a", first}, {"b", second}}};
+        std::array<int, 2> taken{};
+        for (int i = 0; i < count; ++i) {
+            ++taken[routes::next_part(state, parts, random)];
+        }
+        return taken;
+    }
+};
+
+TEST(split, weights_hold_over_short_spans)
+{
+    for (int span = 0; span < 50; ++span) {
+        const auto taken = take(90, 10, 10);
+        CHECK(taken[1] >= 0 && taken[1] <= 2);
+        LONGS_EQUAL(10, taken[0] + taken[1]);
+    }
+    const auto all = take(90, 10, 1000);
+    CHECK(all[1] >= 99 && all[1] <= 101);
+}
+
+TEST(split, a_part_without_weight_takes_nothing_and_new_weights_hold_at_once)
+{
+    LONGS_EQUAL(0, take(0, 1, 100)[0]);
+    const auto taken = take(50, 50, 100);
+    CHECK(taken[0] >= 49 && taken[0] <= 51);
+}
+
+TEST(split, hosts_do_not_all_begin_with_the_same_part)
+{
+    const std::array<routes::route_part, 2> parts{{{"a", 1}, {"b", 1}}};
+    int first = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        random_source own{seed};
+        routes::split_state fresh;
+        first += routes::next_part(fresh, parts, own) == 0 ? 1 : 0;
+    }
+    CHECK(first > 30 && first < 70);
+}
