Test a host that follows a directory over real sockets

Change: a scripted store in the users' dialect, targets that seal, and nine tests: seals, ids, proofs of not run, late answers, addresses used again, desired states that never go back, leaving targets, limits.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -186,6 +186,12 @@
     return found == services_.end() ? nullptr : found->get();
 }
 
+std::size_t front::target_count(std::string_view service)
+{
+    const service_state* known = service_named(service);
+    return known == nullptr ? 0 : known->target_count_;
+}
+
 void front::set_targets(std::string_view service, std::vector<routing::target_info> targets)
 {
     if (service_state* state = service_named(service); state != nullptr) {
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -90,6 +90,8 @@
     // idle connections and waits for the busy ones. on_stopped_ follows.
     void begin_stop();
 
+    // Targets of the service that may take requests; 0 when it is not known.
+    [[nodiscard]] std::size_t target_count(std::string_view service);
     [[nodiscard]] std::size_t callers() const { return callers_.size(); }
 
     // For caller connections and their calls.
--- /dev/null
+++ b/tests/routed_host_test.cpp
@@ -0,0 +1,255 @@
+// A host that follows a directory, over real sockets: store, targets and callers.
+
+#include "support/running_routed_host.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+
+using namespace savoryscale;
+using namespace savoryscale::testing;
+
+namespace {
+
+bool contains(const std::string& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string field(const std::string& request, const std::string& name)
+{
+    const auto at = request.find(name + ": ");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto from = at + name.size() + 2;
+    return request.substr(from, request.find('\r', from) - from);
+}
+
+std::string sealed(const std::string& request, std::string_view body)
+{
+    return ok_answer(body, fmt::format("X-Id: {}\r\nX-Seal: s\r\n", field(request, "X-Id")));
+}
+
+// Answers probes; passes every other request to `run` and counts it.
+class sealing_target {
+public:
+    using answer_function = std::function<std::string(const std::string& request)>;
+
+    explicit sealing_target(answer_function run)
+        : run_{std::move(run)}, server_{[this](script_connection& connection, int) { serve(connection); }}
+    {
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+    [[nodiscard]] int requests() const { return requests_; }
+
+private:
+    void serve(script_connection& connection)
+    {
+        while (true) {
+            const std::string request = connection.read_request();
+            if (request.empty()) {
+                return;
+            }
+            if (request.starts_with("GET /health ")) {
+                connection.send(ok_answer("", "X-Load: 0,0,2,100\r\n"));
+                continue;
+            }
+            ++requests_;
+            const std::string answer = run_(request);
+            connection.send(answer);
+            if (answer.empty()) {
+                connection.close();
+                return;
+            }
+        }
+    }
+
+    std::atomic<int> requests_ = 0;
+    answer_function run_;
+    fake_upstream server_;
+};
+
+std::string sealed_ok(const std::string& request)
+{
+    return sealed(request, "done");
+}
+
+constexpr std::string_view lookup = "GET /look/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 11\r\n\r\n";
+constexpr std::string_view commit =
+    "POST /sell/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 12\r\nContent-Length: 4\r\n\r\nsold";
+
+std::string ask(std::uint16_t port, std::string_view request)
+{
+    test_client caller{port};
+    caller.send(request);
+    return caller.read_answer();
+}
+
+} // namespace
+
+TEST_GROUP(routed_host)
+{
+    scripted_store store;
+
+    void publish(std::uint64_t version)
+    {
+        store.put("config", "main",
+                  state_json(version, {route_json("look", "/look/", "safe", "ledger"),
+                                       route_json("sell", "/sell/", "unsafe", "ledger")}));
+    }
+};
+
+TEST(routed_host, refuses_as_not_run_until_it_knows_a_desired_state)
+{
+    running_routed_host host{store.port()};
+    const std::string early = ask(host.port(), lookup);
+    CHECK(contains(early, " 503 "));
+    CHECK(contains(early, "Retry-After: 0."));
+    sealing_target target{sealed_ok};
+    store.put("servers", "i-1", server_json(target.port()));
+    publish(1);
+    CHECK(host.holds(1, 1));
+    CHECK(contains(ask(host.port(), lookup), "done"));
+    CHECK(contains(ask(host.port(), "GET /none/ HTTP/1.1\r\nHost: a.example\r\n\r\n"), " 404 "));
+}
+
+TEST(routed_host, passes_id_and_seal_and_binds_the_request_to_its_target)
+{
+    std::string seen;
+    std::mutex mutex;
+    sealing_target target{[&](const std::string& request) {
+        const std::lock_guard lock{mutex};
+        seen = request;
+        return sealed(request, "done");
+    }};
+    store.put("servers", "i-1", server_json(target.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(1, 1));
+    const std::string answer = ask(host.port(), lookup);
+    CHECK(contains(answer, "X-Seal: s"));
+    CHECK(contains(answer, "X-Id: 11"));
+    const std::lock_guard lock{mutex};
+    STRCMP_EQUAL("i-1", field(seen, "X-Expect").c_str());
+    STRCMP_EQUAL("11", field(seen, "X-Id").c_str());
+    CHECK(std::stoi(field(seen, "X-Deadline-Ms")) <= 2000);
+}
+
+TEST(routed_host, a_success_without_seal_is_no_answer_and_an_unsafe_request_runs_once)
+{
+    sealing_target bare{[](const std::string& request) {
+        return ok_answer("forged", fmt::format("X-Id: {}\r\n", field(request, "X-Id")));
+    }};
+    sealing_target other{sealed_ok};
+    store.put("servers", "i-1", server_json(bare.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(1, 1));
+    const std::string answer = ask(host.port(), commit);
+    CHECK(contains(answer, " 502 "));
+    CHECK(!contains(answer, "forged"));
+    LONGS_EQUAL(1, bare.requests());
+}
+
+TEST(routed_host, a_refusal_without_proof_is_not_passed_on)
+{
+    sealing_target target{[](const std::string& request) {
+        return fmt::format("HTTP/1.1 503 No\r\nX-Id: {}\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n",
+                           field(request, "X-Id"));
+    }};
+    store.put("servers", "i-1", server_json(target.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(1, 1));
+    const std::string answer = ask(host.port(), commit);
+    CHECK(contains(answer, " 502 "));
+    CHECK(!contains(answer, "X-Seal"));
+    LONGS_EQUAL(1, target.requests());
+}
+
+TEST(routed_host, a_late_answer_to_an_earlier_request_is_read_past)
+{
+    sealing_target target{[first = true](const std::string& request) mutable {
+        const std::string own = sealed(request, "own");
+        return std::exchange(first, false) ? own
+                                           : ok_answer("stray", "X-Id: 99\r\nX-Seal: s\r\n") + own;
+    }};
+    store.put("servers", "i-1", server_json(target.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(1, 1));
+    CHECK(contains(ask(host.port(), commit), "own"));
+    const std::string answer = ask(host.port(), commit);
+    CHECK(contains(answer, "own"));
+    CHECK(!contains(answer, "stray"));
+    LONGS_EQUAL(2, target.requests());
+}
+
+TEST(routed_host, another_server_at_the_address_proves_that_it_did_not_run)
+{
+    sealing_target reused{[](const std::string&) {
+        return "HTTP/1.1 421 No\r\nX-Instance: i-9\r\nContent-Length: 0\r\n\r\n";
+    }};
+    store.put("servers", "i-1", server_json(reused.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(1, 1));
+    const std::string answer = ask(host.port(), commit);
+    CHECK(contains(answer, " 503 "));
+    CHECK(contains(answer, "Savoryscale-Outcome: not-run"));
+}
+
+TEST(routed_host, a_newer_desired_state_holds_and_an_older_one_never_returns)
+{
+    sealing_target target{sealed_ok};
+    store.put("servers", "i-1", server_json(target.port()));
+    publish(5);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(5, 1));
+    store.put("config", "main", state_json(9, {route_json("sell", "/sell/", "unsafe", "ledger")}));
+    CHECK(host.holds(9, 1));
+    CHECK(contains(ask(host.port(), lookup), " 404 "));
+    publish(7);
+    store.put("servers", "i-2", server_json(1, "photos"));
+    CHECK(host.holds(9, 1, "photos"));
+    CHECK(contains(ask(host.port(), lookup), " 404 "));
+}
+
+TEST(routed_host, a_target_that_leaves_or_is_removed_gets_nothing_new)
+{
+    sealing_target leaving{sealed_ok};
+    sealing_target staying{sealed_ok};
+    store.put("servers", "i-1", server_json(leaving.port()));
+    store.put("servers", "i-2", server_json(staying.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(1, 2));
+    auto entry = server_json(leaving.port());
+    entry["state"] = "draining";
+    store.put("servers", "i-1", entry);
+    CHECK(host.holds(1, 1));
+    const int before = leaving.requests();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(contains(ask(host.port(), lookup), "done"));
+    }
+    LONGS_EQUAL(before, leaving.requests());
+    store.remove("servers", "i-2");
+    CHECK(host.holds(1, 0));
+    CHECK(contains(ask(host.port(), lookup), " 503 "));
+}
+
+TEST(routed_host, a_body_over_the_limit_is_refused)
+{
+    sealing_target target{sealed_ok};
+    store.put("servers", "i-1", server_json(target.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(1, 1));
+    const std::string answer =
+        ask(host.port(), "POST /sell/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\n"
+                         "Content-Length: 2000\r\n\r\n");
+    CHECK(contains(answer, " 413 "));
+    LONGS_EQUAL(0, target.requests());
+}
--- /dev/null
+++ b/tests/support/running_routed_host.hpp
@@ -0,0 +1,249 @@
+#pragma once
+
+// An entry host that follows a directory, on a thread of its own, with a scripted store and targets on
+// loopback. The store speaks the users' dialect as far as lists and watches go.
+
+#include "directory/directory_task.hpp"
+#include "http/event_loop.hpp"
+#include "http/front.hpp"
+#include "platform/dialect.hpp"
+#include "support/fake_upstream.hpp"
+#include "telemetry/metrics.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <prometheus/registry.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace savoryscale::testing {
+
+// Objects by kind and name, with one revision for all.
+class scripted_store {
+public:
+    scripted_store()
+        : server_{[this](script_connection& connection, int) { serve(connection); }}
+    {
+    }
+
+    ~scripted_store()
+    {
+        const std::lock_guard lock{mutex_};
+        closing_ = true;
+        changed_.notify_all();
+    }
+
+    scripted_store(const scripted_store&) = delete;
+    scripted_store& operator=(const scripted_store&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+
+    void put(const std::string& kind, const std::string& name, nlohmann::json spec)
+    {
+        const std::lock_guard lock{mutex_};
+        ++revision_;
+        objects_[kind][name] = {{"metadata", {{"name", name}, {"revision", revision_}, {"created", 1}}},
+                                {"spec", std::move(spec)}};
+        log_.push_back({revision_, kind, objects_[kind][name], false});
+        changed_.notify_all();
+    }
+
+    void remove(const std::string& kind, const std::string& name)
+    {
+        const std::lock_guard lock{mutex_};
+        ++revision_;
+        log_.push_back({revision_, kind, objects_[kind][name], true});
+        objects_[kind].erase(name);
+        changed_.notify_all();
+    }
+
+private:
+    struct change {
+        std::uint64_t revision_ = 0;
+        std::string kind_;
+        nlohmann::json object_;
+        bool deleted_ = false;
+    };
+
+    void serve(script_connection& connection)
+    {
+        while (true) {
+            const std::string request = connection.read_request();
+            if (request.empty()) {
+                return;
+            }
+            const auto kind_at = request.find("/-/objects/") + 11;
+            const std::string kind =
+                request.substr(kind_at, request.find_first_of(" ?", kind_at) - kind_at);
+            const auto watch = request.find("watch=");
+            const std::string body = watch == std::string::npos
+                                         ? list(kind)
+                                         : wait(kind, std::stoull(request.substr(watch + 6)));
+            connection.send(ok_answer(body));
+        }
+    }
+
+    std::string list(const std::string& kind)
+    {
+        const std::lock_guard lock{mutex_};
+        nlohmann::json items = nlohmann::json::array();
+        for (const auto& [name, object] : objects_[kind]) {
+            items.push_back(object);
+        }
+        return nlohmann::json{{"items", items}, {"has_more", false}, {"store_revision", revision_}}
+            .dump();
+    }
+
+    std::string wait(const std::string& kind, std::uint64_t from)
+    {
+        std::unique_lock lock{mutex_};
+        nlohmann::json events = nlohmann::json::array();
+        changed_.wait_for(lock, std::chrono::seconds{2}, [&] {
+            events = nlohmann::json::array();
+            for (const change& each : log_) {
+                if (each.revision_ > from && each.kind_ == kind) {
+                    events.push_back({{"object", each.object_}, {"deleted", each.deleted_}});
+                }
+            }
+            return closing_ || !events.empty();
+        });
+        return nlohmann::json{{"events", events}, {"store_revision", revision_}}.dump();
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool closing_ = false;
+    std::uint64_t revision_ = 10;
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+    std::vector<change> log_;
+    fake_upstream server_; // last: its threads use the members above
+};
+
+inline nlohmann::json route_json(std::string name, std::string prefix, std::string type,
+                                 std::string service)
+{
+    return {{"name", name},        {"host", "a.example"}, {"path_prefix", prefix},
+            {"route_type", type},  {"timeout_s", 2},      {"latency_goal_s", 1},
+            {"max_attempts", 2},   {"priority", 1},       {"service", service}};
+}
+
+inline nlohmann::json state_json(std::uint64_t version, nlohmann::json all_routes)
+{
+    const auto service = [](const char* name) {
+        return nlohmann::json{{"name", name}, {"health_path", "/health"}, {"max_conns", 200}};
+    };
+    return {{"version", fmt::format("r{}", version)},
+            {"routes", std::move(all_routes)},
+            {"services", {service("ledger"), service("photos")}},
+            {"limits",
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 1000},
+              {"header_timeout_s", 3},
+              {"idle_timeout_s", 5}}}};
+}
+
+inline nlohmann::json server_json(std::uint16_t port, std::string service = "ledger")
+{
+    return nlohmann::json::parse(fmt::format(
+        R"({{"service":"{}","address":"127.0.0.1:{}","zone":"mobile","version":"v1","slots":2,
+            "state":"ready","warmup_left_s":0,"sequence":1}})",
+        service, port));
+}
+
+inline settings::settings directory_settings(std::uint16_t store_port)
+{
+    settings::settings config;
+    config.host_ = {"host-1", "mobile", "gulf-south", 2};
+    config.listen_.address_ = {"127.0.0.1", 0};
+    config.listen_.stop_lag_ = std::chrono::milliseconds{20};
+    config.listen_.fractional_retry_after_ = true;
+    config.listen_.refusals_prove_not_run_ = true;
+    settings::directory followed;
+    followed.store_ = {"127.0.0.1", store_port};
+    followed.drain_ = settings::seconds{0.05};
+    followed.service_.policy_ = "probed";
+    followed.service_.not_run_header_ = "X-Not-Run";
+    followed.service_.not_run_statuses_ = {421};
+    followed.service_.retry_ratio_ = 1;
+    config.directory_ = followed;
+    config.header_names_.request_id_ = "X-Id";
+    config.header_names_.caller_sets_request_id_ = true;
+    config.header_names_.seal_ = "X-Seal";
+    config.header_names_.expect_instance_ = "X-Expect";
+    config.header_names_.instance_ = "X-Instance";
+    config.header_names_.load_ = "X-Load";
+    return config;
+}
+
+class running_routed_host {
+public:
+    explicit running_routed_host(std::uint16_t store_port) : config_{directory_settings(store_port)}
+    {
+        loop_ = std::move(http::event_loop::make(256)).value();
+        front_ = std::make_unique<http::front>(*loop_, config_, metrics_, 1, http::front_events{});
+        directory::directory_events events;
+        events.on_desired_state_ = [this](routes::desired_state state) {
+            front_->set_desired_state(std::move(state));
+        };
+        events.on_targets_ = [this](const std::string& service,
+                                    std::vector<routing::target_info> targets) {
+            front_->set_targets(service, std::move(targets));
+        };
+        events.on_store_call_ = [](store::operation, store::call_status) {};
+        directory_ = std::make_unique<directory::directory_task>(
+            *loop_, *config_.directory_, platform::dialect(), 2, std::move(events));
+        port_ = front_->open().value();
+        directory_->start();
+        thread_ = std::thread{[this] { loop_->run([this] { front_->run_posted(); }); }};
+    }
+
+    ~running_routed_host()
+    {
+        loop_->stop();
+        thread_.join();
+        directory_.reset();
+        front_.reset();
+    }
+
+    running_routed_host(const running_routed_host&) = delete;
+    running_routed_host& operator=(const running_routed_host&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+
+    // Waits until the host holds the version and the number of usable targets of the service; whether
+    // it does within some seconds.
+    bool holds(std::uint64_t version, std::size_t targets, const std::string& service = "ledger")
+    {
+        for (int i = 0; i < 600; ++i) {
+            std::promise<bool> answered;
+            front_->post([&](http::front& task) {
+                const bool known = task.routes() && task.routes()->state_.version_ >= version;
+                answered.set_value(known && task.target_count(service) == targets);
+            });
+            if (answered.get_future().get()) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        return false;
+    }
+
+private:
+    settings::settings config_;
+    prometheus::Registry registry_;
+    telemetry::metrics metrics_ = telemetry::register_metrics(registry_);
+    std::unique_ptr<http::event_loop> loop_;
+    std::unique_ptr<http::front> front_;
+    std::unique_ptr<directory::directory_task> directory_;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+} // namespace savoryscale::testing
