Bound probes without knowing the other hosts, look in every data centre, use subsets

Change: what a search may cost follows from the requests at the targets and the time each takes (Little's law); half of the first round is near, later ones look everywhere; a host uses 48 targets of a service. The mean latency starts with the first answer. Second sends of repeatable requests start once the goal is missed, if a probe shows a free target. Tests play the bound at four loads, the half near, the subsets.

--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -88,7 +88,7 @@
         telemetry::state_change("desired_state_applied",
                                 {{"version", std::to_string(state->version_)},
                                  {"before", std::to_string(version_)},
-                                 {"store_revision", std::to_string(changed.revision_)},
+                                 {"at_revision", std::to_string(changed.revision_)},
                                  {"routes", std::to_string(state->routes_.size())}});
         version_ = state->version_;
         events_.on_desired_state_(std::move(*state));
--- a/src/http/attempt_exchange.hpp
+++ b/src/http/attempt_exchange.hpp
@@ -51,6 +51,7 @@
     answer_head head_;        // of its answer
     std::string held_;        // body that has come and is not passed on yet
     bool passing_ = false;    // the answer is being passed on
+    bool beside_ = false;     // started beside one that has not answered
     telemetry::span_id span_{};
     time_point answered_{}; // when the answer's head came
     int status_ = 0;
--- a/src/http/placement.cpp
+++ b/src/http/placement.cpp
@@ -32,15 +32,17 @@
 
 void placement::start()
 {
+    const std::chrono::duration<double, std::nano> mean{service_.view_.mean_latency_ns_};
+    routing::search_begun(service_.placing_, std::chrono::duration<double>{mean}.count());
     begin_round();
 }
 
 void placement::begin_round()
 {
     ++rounds_;
-    const auto candidates =
-        routing::probe_candidates(service_.view_, exclude_, options.round_size_,
-                                  front_.loop().now(), front_.random());
+    const std::size_t count = routing::take_probes(service_.placing_, options.round_size_);
+    const auto candidates = routing::probe_candidates(service_.view_, exclude_, count, rounds_ == 1,
+                                                      front_.loop().now(), front_.random());
     exclude_.insert(exclude_.end(), candidates.begin(), candidates.end());
     pending_ = candidates.size();
     if (candidates.empty()) {
@@ -101,6 +103,7 @@
     placement_result result;
     result.placed_ = routing::place(service_.view_, probed_, options, front_.loop().now(),
                                     front_.random());
+    routing::search_ended(service_.placing_, probed_, result.placed_.has_value());
     result.retry_after_ = routing::expected_slot(service_.view_, probed_);
     result.probed_ = probed_;
     std::exchange(done_, {})(result);
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -310,7 +310,10 @@
         return;
     }
     const time_point now = front_.loop().now();
-    if (const auto delay = routing::hedge_after(service_->view_, now)) {
+    const bool places = service_->view_.policy_ == routing::policy::probed;
+    const auto delay = places ? routing::hedge_within(service_->view_, route_->goal_)
+                              : routing::hedge_after(service_->view_, now);
+    if (delay) {
         hedge_timer_ = front_.loop().at(now + *delay, [this] { on_hedge_due(); });
     }
 }
@@ -318,13 +321,26 @@
 void proxied_call::on_hedge_due()
 {
     hedge_timer_ = 0;
-    const time_point now = front_.loop().now();
-    if (dispatch::wants_hedge(state_) && routing::take_hedge(service_->view_, now)) {
-        front_.metrics().hedges_.Increment();
+    if (!dispatch::wants_hedge(state_)) {
+        return;
+    }
+    // Where a free target is looked for first, the budget is taken when one is found.
+    const bool places = service_->view_.policy_ == routing::policy::probed;
+    if (places || take_hedge()) {
+        exchanges_[state_.attempt_count_].beside_ = true;
         execute(dispatch::hedge(state_));
     }
 }
 
+bool proxied_call::take_hedge()
+{
+    const bool taken = routing::take_hedge(service_->view_, front_.loop().now());
+    if (taken) {
+        front_.metrics().hedges_.Increment();
+    }
+    return taken;
+}
+
 void proxied_call::on_deadline()
 {
     deadline_timer_ = 0;
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -100,6 +100,7 @@
     void record_attempt(const attempt_exchange& attempt, bool finished);
     void arm_hedge();
     void on_hedge_due();
+    bool take_hedge();
     void on_deadline();
     void note_progress();
     void check_progress();
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -86,8 +86,11 @@
 {
     attempt.placing_.reset();
     const duration left = time_left();
+    const bool wanted =
+        !attempt.beside_ ||
+        (routing::is_good_enough(service_->view_, found.probed_, front_.loop().now()) && take_hedge());
     const bool in_time =
-        found.placed_ &&
+        found.placed_ && wanted &&
         std::chrono::duration<double>{found.placed_->expected_}.count() * expected_part <
             std::chrono::duration<double>{left}.count();
     std::string loads;
@@ -102,6 +105,7 @@
          {"target", found.placed_ ? front_.target_name(*service_, found.placed_->target_) : ""},
          {"expected_ms", found.placed_ ? log_ms(found.placed_->expected_) : ""},
          {"left_ms", log_ms(left)},
+         {"beside", attempt.beside_ ? "yes" : "no"},
          {"in_time", in_time ? "yes" : "no"},
          {"probed", loads}});
     if (!in_time) {
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -4,6 +4,7 @@
 
 #include "admission/quarantine.hpp"
 #include "http/connection_pool.hpp"
+#include "routing/placement.hpp"
 #include "routing/service_view.hpp"
 #include "settings/settings.hpp"
 
@@ -24,6 +25,7 @@
 struct service_state {
     settings::service config_;
     routing::service_view view_;
+    routing::placement_budget placing_;
     std::map<routing::target_index, target_connections> targets_;
     std::vector<routing::target_info> listed_;
     std::size_t target_count_ = 0;   // those that leave are left out
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -1,6 +1,7 @@
 #include "routing/placement.hpp"
 
 #include "routing/ejection.hpp"
+#include "routing/expected_wait.hpp"
 #include "routing/service_view.hpp"
 
 #include <algorithm>
@@ -16,6 +17,12 @@
 constexpr double far_cost = 0.05;       // in another data centre
 constexpr double failure_cost = 4;      // that fails every time while others never do
 constexpr double usual_slowdown = 1.25; // up to which a target counts as not slowed
+constexpr std::size_t sample_factor = 3;  // targets looked at for each that is probed
+constexpr double probes_part = 0.85;      // of the bound; the rest covers what the estimate misses
+constexpr double in_flight_min = 0.2;     // below it a service is idle, and each search may go on
+constexpr double searched_min = 3;        // probes that each search may cost at least
+constexpr double saved_probes_max = 60;
+constexpr double mean_weight = 0.02; // of one report in a moving average
 constexpr double unknown_work_ns = 1e8; // before any answer was seen
 
 double work_ns(const service_view& view)
@@ -79,25 +86,75 @@
     return requests_at(target, probed) >= slots * (1 + options.queue_max_);
 }
 
+// Of a random sample, those with the fewest requests as far as this host knows.
+std::vector<target_index> least_loaded_of_sample(const service_view& view,
+                                                 std::vector<target_index> from, std::size_t count,
+                                                 time_point now, random_source& random)
+{
+    const std::size_t sampled = std::min(from.size(), count * sample_factor);
+    for (std::size_t i = 0; i < sampled; ++i) {
+        std::swap(from[i], from[i + uniform_below(random, from.size() - i)]);
+    }
+    from.resize(sampled);
+    std::stable_sort(from.begin(), from.end(), [&](target_index one, target_index other) {
+        return expected_in_flight(view, view.targets_[one], now) <
+               expected_in_flight(view, view.targets_[other], now);
+    });
+    from.resize(std::min(from.size(), count));
+    return from;
+}
+
 } // namespace
 
 std::vector<target_index> probe_candidates(service_view& view,
                                            std::span<const target_index> exclude, std::size_t count,
-                                           time_point now, random_source& random)
+                                           bool near_first, time_point now, random_source& random)
 {
+    std::vector<target_index> sample = eligible_targets(view, exclude);
+    drop_ejected(view, sample, now);
     std::vector<target_index> chosen;
-    std::vector<target_index> seen{exclude.begin(), exclude.end()};
-    while (chosen.size() < count) {
-        const auto next = choose(view, seen, now, random);
-        if (!next) {
-            break;
-        }
-        chosen.push_back(*next);
-        seen.push_back(*next);
+    if (near_first) {
+        auto near = sample;
+        std::erase_if(near, [&](target_index index) {
+            return view.targets_[index].info_.data_centre_ != view.data_centre_;
+        });
+        chosen = least_loaded_of_sample(view, std::move(near), count / 2, now, random);
+        std::erase_if(sample, [&](target_index index) {
+            return std::find(chosen.begin(), chosen.end(), index) != chosen.end();
+        });
     }
+    const auto rest =
+        least_loaded_of_sample(view, std::move(sample), count - chosen.size(), now, random);
+    chosen.insert(chosen.end(), rest.begin(), rest.end());
     return chosen;
 }
 
+void search_begun(placement_budget& budget, double mean_latency_s)
+{
+    const double in_flight = std::max(budget.mean_in_flight_, in_flight_min);
+    const double each = budget.probes_per_target_ * probes_part * mean_latency_s / in_flight;
+    const double earned = std::clamp(each * budget.mean_placed_, searched_min, saved_probes_max);
+    budget.probes_ = std::min(budget.probes_ + earned, saved_probes_max);
+}
+
+std::size_t take_probes(placement_budget& budget, std::size_t wanted)
+{
+    const auto taken = std::min(wanted, static_cast<std::size_t>(std::max(budget.probes_, 0.0)));
+    budget.probes_ -= static_cast<double>(taken);
+    return taken;
+}
+
+void search_ended(placement_budget& budget, std::span<const probed_target> probed, bool placed)
+{
+    for (const probed_target& one : probed) {
+        if (one.load_) {
+            budget.mean_in_flight_ +=
+                mean_weight * (one.load_->requests_in_flight_ - budget.mean_in_flight_);
+        }
+    }
+    budget.mean_placed_ += mean_weight * ((placed ? 1 : 0) - budget.mean_placed_);
+}
+
 bool is_good_enough(const service_view& view, std::span<const probed_target> probed, time_point now)
 {
     return std::any_of(probed.begin(), probed.end(), [&](const probed_target& one) {
--- a/src/routing/retry_budget.hpp
+++ b/src/routing/retry_budget.hpp
@@ -10,10 +10,9 @@
     double ratio_ = 0; // extra attempts per first attempt
     double extra_ = 0; // extra attempts saved up
     double most_ = 20; // that can be saved up
+    double hedge_reserve_ = 2; // saved up for retries before hedges may take any
 };
 
-inline constexpr double hedge_reserve = 2;     // saved up for retries before hedges may take any
-
 // Counts an attempt of any kind; an extra one has paid its part when it was taken.
 void attempt_counted(retry_budget&);
 
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace savoryscale::routing {
 
@@ -16,6 +17,7 @@
 constexpr double hedge_in_use_max = 1.5;
 constexpr double shed_calls_per_slot = 2;
 constexpr double hedge_quantile = 0.9;
+constexpr double hedge_wait_min = 1.3; // mean latencies that the first attempt has at least
 constexpr double latency_weight = 0.2;
 constexpr double mean_weight = 0.01; // of one report in a mean over all targets
 
@@ -28,30 +30,43 @@
     return std::find(exclude.begin(), exclude.end(), index) == exclude.end();
 }
 
-// From the host's subset, or from the whole list when none of the subset is eligible.
-std::vector<target_index> eligible_targets(const service_view& view,
-                                           std::span<const target_index> exclude)
+std::string key_of(const settings::endpoint& address)
 {
-    std::vector<target_index> eligible;
-    for (const target_index index : view.used_) {
-        if (is_eligible(view.targets_[index], exclude, index)) {
-            eligible.push_back(index);
+    return fmt::format("{}:{}", address.ip_, address.port_);
+}
+
+// The listed targets that this host uses when it does not know the others: those that rank first for
+// it, a half of them in its data centre. Other hosts rank them otherwise, so that all are used alike.
+std::vector<target_index> own_subset(const service_view& view)
+{
+    std::vector<std::pair<std::uint64_t, target_index>> near;
+    std::vector<std::pair<std::uint64_t, target_index>> all;
+    for (target_index index = 0; index < view.targets_.size(); ++index) {
+        const target_state& target = view.targets_[index];
+        if (target.listed_ && !target.info_.leaving_) {
+            const std::uint64_t rank = target_rank(view.own_id_, key_of(target.info_.address_));
+            all.emplace_back(rank, index);
+            if (target.info_.data_centre_ == view.data_centre_) {
+                near.emplace_back(rank, index);
+            }
         }
     }
-    if (!eligible.empty()) {
-        return eligible;
+    std::sort(near.begin(), near.end());
+    std::sort(all.begin(), all.end());
+    std::vector<target_index> used;
+    for (const auto& [rank, index] : near) {
+        if (used.size() < view.subset_max_ / 2) {
+            used.push_back(index);
+        }
     }
-    for (target_index index = 0; index < view.targets_.size(); ++index) {
-        if (is_eligible(view.targets_[index], exclude, index)) {
-            eligible.push_back(index);
+    for (const auto& [rank, index] : all) {
+        if (used.size() < view.subset_max_ &&
+            std::find(used.begin(), used.end(), index) == used.end()) {
+            used.push_back(index);
         }
     }
-    return eligible;
-}
-
-std::string key_of(const settings::endpoint& address)
-{
-    return fmt::format("{}:{}", address.ip_, address.port_);
+    std::sort(used.begin(), used.end());
+    return used;
 }
 
 void update_subset(service_view& view)
@@ -60,6 +75,10 @@
         view.targets_.begin(), view.targets_.end(), [](const auto& one) { return one.listed_; }));
     const std::size_t count = hosts_for_each_target(view.hosts_.size(), listed);
     view.used_.clear();
+    if (view.subset_max_ > 0 && listed > view.subset_max_) {
+        view.used_ = own_subset(view);
+        return;
+    }
     for (target_index index = 0; index < view.targets_.size(); ++index) {
         const target_state& target = view.targets_[index];
         const std::string key = key_of(target.info_.address_);
@@ -102,7 +121,9 @@
 {
     add(view.latencies_, latency);
     const auto ns = static_cast<double>(latency.count());
-    view.mean_latency_ns_ += mean_weight * (ns - view.mean_latency_ns_);
+    // A mean over all so far, until there are enough for a moving one.
+    const double weight = std::max(mean_weight, 1.0 / ++view.latencies_heard_);
+    view.mean_latency_ns_ += weight * (ns - view.mean_latency_ns_);
     target.latency_ns_ += latency_weight * (ns - target.latency_ns_);
     target.latency_at_ = now;
 }
@@ -150,6 +171,26 @@
 
 } // namespace
 
+std::vector<target_index> eligible_targets(const service_view& view,
+                                           std::span<const target_index> exclude)
+{
+    std::vector<target_index> eligible;
+    for (const target_index index : view.used_) {
+        if (is_eligible(view.targets_[index], exclude, index)) {
+            eligible.push_back(index);
+        }
+    }
+    if (!eligible.empty()) {
+        return eligible;
+    }
+    for (target_index index = 0; index < view.targets_.size(); ++index) {
+        if (is_eligible(view.targets_[index], exclude, index)) {
+            eligible.push_back(index);
+        }
+    }
+    return eligible;
+}
+
 service_view make_view(const settings::service& service, std::string_view own_data_centre,
                        policy chosen)
 {
@@ -271,12 +312,21 @@
 std::optional<duration> hedge_after(const service_view& view, time_point /*now*/)
 {
     const bool is_short_of_capacity = in_use(view) > hedge_in_use_max;
-    if (!view.hedge_ || is_short_of_capacity || !has_extra(view.retries_, hedge_reserve)) {
+    if (!view.hedge_ || is_short_of_capacity || !has_extra(view.retries_, view.retries_.hedge_reserve_)) {
         return std::nullopt;
     }
     return quantile(view.latencies_, hedge_quantile);
 }
 
+std::optional<duration> hedge_within(const service_view& view, duration goal)
+{
+    if (!view.hedge_ || !has_extra(view.retries_, view.retries_.hedge_reserve_)) {
+        return std::nullopt;
+    }
+    const double least = view.mean_latency_ns_ * hedge_wait_min;
+    return std::max(goal, duration{static_cast<std::int64_t>(least)});
+}
+
 double in_use(const service_view& view)
 {
     double own = 0;
@@ -298,7 +348,7 @@
 
 bool take_hedge(service_view& view, time_point /*now*/)
 {
-    return take_extra(view.retries_, hedge_reserve);
+    return take_extra(view.retries_, view.retries_.hedge_reserve_);
 }
 
 } // namespace savoryscale::routing
--- a/src/routing/subset.cpp
+++ b/src/routing/subset.cpp
@@ -6,15 +6,11 @@
 
 namespace savoryscale::routing {
 
-namespace {
-
-std::uint64_t rank_of(std::string_view host, std::string_view target)
+std::uint64_t target_rank(std::string_view host, std::string_view target)
 {
     return XXH64(host.data(), host.size(), XXH64(target.data(), target.size(), 0));
 }
 
-} // namespace
-
 std::size_t hosts_for_each_target(std::size_t hosts, std::size_t targets)
 {
     if (targets <= subset_targets) {
@@ -30,9 +26,9 @@
     if (count >= hosts.size() || std::find(hosts.begin(), hosts.end(), own) == hosts.end()) {
         return true;
     }
-    const std::uint64_t own_rank = rank_of(own, target);
+    const std::uint64_t own_rank = target_rank(own, target);
     const auto is_before = [&](const std::string& host) {
-        return rank_of(host, target) > own_rank;
+        return target_rank(host, target) > own_rank;
     };
     return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), is_before)) < count;
 }
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -297,6 +297,7 @@
     in.optional("retry_ratio", out.retry_ratio_, {0, 1});
     in.optional("retry_slack", out.retry_slack_, {0, 1'000'000});
     in.optional("probes_per_target", out.probes_per_target_, {0, 100'000});
+    in.optional("subset_targets", out.subset_targets_, {0, 100'000});
     service_defaults defaults{out.service_};
     in.optional("service", defaults);
     in.reject_unknown();
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -126,6 +126,7 @@
     double retry_ratio_ = 0.2;    // second sends per request, of all hosts
     double retry_slack_ = 50;     // second sends beyond that, of all hosts together
     double probes_per_target_ = 40; // a second, of all hosts
+    std::uint32_t subset_targets_ = 48; // of a service that this host uses; 0: all
     service service_;             // what routes and targets do not tell of a service
 };
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -116,13 +116,87 @@
 
 TEST(placement, candidates_are_not_probed_twice)
 {
-    const auto first = routing::probe_candidates(view, {}, 3, now, random);
+    const auto first = routing::probe_candidates(view, {}, 3, true, now, random);
     LONGS_EQUAL(3, first.size());
-    const auto second = routing::probe_candidates(view, first, 3, now, random);
+    const auto second = routing::probe_candidates(view, first, 3, true, now, random);
     LONGS_EQUAL(1, second.size());
     CHECK(std::find(first.begin(), first.end(), second[0]) == first.end());
 }
 
+TEST(placement, a_half_of_the_first_round_is_near_and_later_ones_look_everywhere)
+{
+    std::vector<routing::target_info> all;
+    for (int i = 0; i < 40; ++i) {
+        routing::target_info info;
+        info.address_ = {"10.0.1." + std::to_string(i), 80};
+        info.data_centre_ = i < 8 ? "mobile" : "biloxi";
+        all.push_back(info);
+    }
+    routing::update_targets(view, all, now);
+    const auto is_near = [&](target_index index) {
+        return view.targets_[index].info_.data_centre_ == "mobile";
+    };
+    int near_first = 0;
+    int near_later = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto first = routing::probe_candidates(view, {}, 4, true, now, random);
+        const auto later = routing::probe_candidates(view, {}, 4, false, now, random);
+        near_first += static_cast<int>(std::count_if(first.begin(), first.end(), is_near));
+        near_later += static_cast<int>(std::count_if(later.begin(), later.end(), is_near));
+    }
+    CHECK(near_first >= 200 && near_first < 320);
+    CHECK(near_later > 20 && near_later < 160);
+}
+
+// 136 hosts, 246 targets, 42 probes a target and second (the grown Calloway): whatever the load, all
+// hosts together stay within the bound.
+TEST(placement, probes_of_all_hosts_stay_within_their_bound)
+{
+    for (const double per_second : {100.0, 900.0, 1800.0, 2600.0}) {
+        for (const double work_s : {0.12, 0.3}) {
+            routing::placement_budget budget;
+            budget.probes_per_target_ = 42;
+            const double in_flight = per_second * work_s / 246;
+            std::size_t probes = 0;
+            const int searches = 4000;
+            for (int i = 0; i < searches; ++i) {
+                routing::search_begun(budget, work_s);
+                const std::size_t taken = routing::take_probes(budget, 16);
+                probes += taken;
+                const std::vector<probed_target> all(taken, probed(0, in_flight));
+                routing::search_ended(budget, all, true);
+            }
+            const double each = static_cast<double>(probes) / searches;
+            CHECK(each >= 2);
+            CHECK(each * per_second / 246 <= 42);
+        }
+    }
+}
+
+TEST(placement, a_host_uses_a_subset_of_a_large_service_and_hosts_use_all_alike)
+{
+    std::vector<int> uses(246);
+    for (int host = 0; host < 136; ++host) {
+        routing::service_view own = view_of(0, routing::policy::probed, now);
+        own.own_id_ = "host-" + std::to_string(host);
+        own.subset_max_ = 48;
+        std::vector<routing::target_info> all;
+        for (int i = 0; i < 246; ++i) {
+            routing::target_info info;
+            info.address_ = {"10.0.1." + std::to_string(i), 80};
+            info.data_centre_ = i % 3 == 0 ? "mobile" : "biloxi";
+            all.push_back(info);
+        }
+        routing::update_targets(own, all, now);
+        LONGS_EQUAL(48, own.used_.size());
+        for (const target_index used : own.used_) {
+            ++uses[used];
+        }
+    }
+    CHECK(*std::min_element(uses.begin(), uses.end()) >= 8);
+    CHECK(*std::max_element(uses.begin(), uses.end()) <= 70);
+}
+
 namespace {
 
 // The load that placement answers, in virtual time: many hosts with few requests each, targets of two
@@ -211,7 +285,8 @@
         std::vector<target_index> seen;
         for (std::size_t round = 0; round < options.rounds_max_; ++round) {
             for (const target_index next :
-                 routing::probe_candidates(host, seen, options.round_size_, now_, random_)) {
+                 routing::probe_candidates(host, seen, options.round_size_, round == 0, now_,
+                                           random_)) {
                 seen.push_back(next);
                 all.push_back({next, load_of(next)});
             }
