Read the first list of targets from an old copy, and poll later

Change: the first list may come from an old copy, which costs a tenth; a short watch from its revision brings it up to date before anything else, and leads to an exact list when that history is gone. Polls come at 0.8 of the drain bound instead of 0.65. Ruled out: old copies for the desired state (its list is one call, the watch that confirms it is another); old copies in polls (they may be older than the drain bound).

--- a/src/cli/routed_host.hpp
+++ b/src/cli/routed_host.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// One entry host that follows a directory: one thread, one event loop, and no other process to talk to
-// but callers, targets and the store.
+// One entry host that follows a directory: one thread, one event loop, and no other process to talk
+// to but callers, targets and the store.
 
 #include "base/error.hpp"
 #include "directory/directory_task.hpp"
@@ -32,8 +32,8 @@
     // Starts every part. Errors: an address that cannot be bound.
     result<void> start();
 
-    // Runs until a stop has ended. Signals are taken here: the first order to stop is a graceful stop,
-    // the second ends at once. Returns whether the stop was graceful.
+    // Runs until a stop has ended. Signals are taken here: the first order to stop is a graceful
+    // stop, the second ends at once. Returns whether the stop was graceful.
     bool run(const std::string& settings_file);
 
 private:
--- a/src/cli/serve.hpp
+++ b/src/cli/serve.hpp
@@ -11,7 +11,8 @@
 namespace savoryscale::cli {
 
 // Runs until a first SIGTERM or SIGINT has stopped it gracefully or a second one has forced it.
-// Returns the exit code. `settings_file` is read again when the process is told that it has changed.
+// Returns the exit code. `settings_file` is read again when the process is told that it has
+// changed.
 int serve(const settings::settings& config, const std::string& settings_file);
 
 } // namespace savoryscale::cli
--- a/src/directory/dialect.hpp
+++ b/src/directory/dialect.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// How a particular store spells what the directory asks and hears. One table of functions; platform/
-// holds the one for the users' store. None of them keeps state.
+// How a particular store spells what the directory asks and hears. One table of functions;
+// platform/ holds the one for the users' store. None of them keeps state.
 
 #include "base/error.hpp"
 #include "directory/follow.hpp"
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -17,9 +17,9 @@
 // Connections to the store: one for each kind that is followed, and one to replace a silent one.
 constexpr std::size_t connections_max = 4;
 
-// Of the time within which a leaving target must be known, the part that passes between two calls. The
-// rest is for the call itself, and for requests that were placed just before.
-constexpr double pause_part = 0.65;
+// Of the time within which a leaving target must be known, the part that passes between two calls.
+// The rest is for the call itself, and for requests that were placed just before.
+constexpr double pause_part = 0.8;
 
 // An outage shorter than this lets no entry lapse.
 constexpr duration outage_min = 1s;
@@ -27,6 +27,7 @@
 follow_options target_options(const settings::directory& config)
 {
     follow_options options;
+    options.first_list_stale_ = true;
     options.pause_ = std::chrono::duration_cast<duration>(config.drain_ * pause_part);
     return options;
 }
@@ -40,14 +41,14 @@
       random_{seed},
       events_{std::move(events)},
       pool_{loop, config.store_, false, connections_max},
-      configuration_{loop,
-                     pool_,
-                     spoken,
-                     spoken.configuration_kind_,
-                     {},
-                     random_,
-                     {[this](const follow_news& news) { on_configuration(news); },
-                      events_.on_store_call_}},
+      configuration_{
+          loop,
+          pool_,
+          spoken,
+          spoken.configuration_kind_,
+          {},
+          random_,
+          {[this](const follow_news& news) { on_configuration(news); }, events_.on_store_call_}},
       targets_{loop,
                pool_,
                spoken,
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// Keeps an entry host's routes, services and targets as the store has them, and tells the HTTP task.
-// Runs on the HTTP task's loop.
+// Keeps an entry host's routes, services and targets as the store has them, and tells the HTTP
+// task. Runs on the HTTP task's loop.
 
 #include "base/random.hpp"
 #include "directory/follower.hpp"
--- a/src/directory/follow.cpp
+++ b/src/directory/follow.cpp
@@ -10,6 +10,15 @@
 
 constexpr std::uint32_t doublings_max = 8;
 
+// Of the watch that brings an old copy up to date. A store that has dropped that history says so
+// only when the wait is over.
+constexpr duration confirm_wait = std::chrono::milliseconds{100};
+
+bool is_stale_list(const follow_state& state)
+{
+    return state.options_.first_list_stale_ && !state.list_exactly_;
+}
+
 // An answer came. Returns how long there was none before, when calls had failed.
 std::optional<duration> note_answer(follow_state& state, time_point now)
 {
@@ -23,9 +32,13 @@
 follow_call next_call(const follow_state& state)
 {
     if (state.listed_) {
-        return {true, {}, state.revision_, state.options_.wait_};
+        return {true,
+                {},
+                state.revision_,
+                state.confirmed_ ? state.options_.wait_ : confirm_wait,
+                false};
     }
-    return {false, state.after_, 0, {}};
+    return {false, state.after_, 0, {}, is_stale_list(state)};
 }
 
 follow_news on_list_page(follow_state& state, list_page page, time_point now)
@@ -46,7 +59,8 @@
     state.listed_ = true;
     state.revision_ = state.first_revision_;
     state.after_.clear();
-    state.due_ = now + state.options_.pause_;
+    state.confirmed_ = !is_stale_list(state);
+    state.due_ = now + (state.confirmed_ ? state.options_.pause_ : duration::zero());
     news.whole_ = true;
     news.objects_ = std::exchange(state.page_, {});
     return news;
@@ -57,6 +71,7 @@
     follow_news news;
     news.returned_after_ = note_answer(state, now);
     state.revision_ = std::max(state.revision_, page.revision_);
+    state.confirmed_ = true;
     state.due_ = now + (page.objects_.empty() ? duration::zero() : state.options_.pause_);
     news.objects_ = std::move(page.objects_);
     return news;
@@ -65,6 +80,7 @@
 void on_history_gone(follow_state& state, time_point now)
 {
     state.listed_ = false;
+    state.list_exactly_ = true;
     state.after_.clear();
     state.page_.clear();
     state.due_ = now;
@@ -83,6 +99,7 @@
     state.after_.clear(); // pages of two moments are not put together
     // A store that forgot its history may leave a watch from before that waiting; a list tells all.
     state.listed_ = false;
+    state.list_exactly_ = true;
 }
 
 } // namespace savoryscale::directory
--- a/src/directory/follow.hpp
+++ b/src/directory/follow.hpp
@@ -15,30 +15,36 @@
 namespace savoryscale::directory {
 
 struct follow_options {
-    duration pause_{};                             // from an answer to the next watch
-    duration wait_ = std::chrono::seconds{10};     // of a watch that has no news
+    duration pause_{};                         // from an answer to the next watch
+    duration wait_ = std::chrono::seconds{20}; // of a watch that has no news
+    // The first list may come from a copy that is seconds old, which costs less; the watch from its
+    // revision brings it up to date at once.
+    bool first_list_stale_ = false;
     duration backoff_min_ = std::chrono::milliseconds{50};
     duration backoff_max_ = std::chrono::milliseconds{800};
 };
 
 struct follow_state {
     follow_options options_;
-    bool listed_ = false;            // the list was read whole; watching from revision_
-    std::uint64_t revision_ = 0;     // of the store, up to which everything is known
-    std::string after_;              // name after which the next page begins
+    bool listed_ = false;             // the list was read whole; watching from revision_
+    bool list_exactly_ = false;       // what was heard from an old copy did not lead to the present
+    bool confirmed_ = false;          // an exact answer has come since the list
+    std::uint64_t revision_ = 0;      // of the store, up to which everything is known
+    std::string after_;               // name after which the next page begins
     std::vector<stored_object> page_; // pages read so far
     std::uint64_t first_revision_ = 0; // of the first page
     time_point due_{};
-    std::uint32_t failures_ = 0;     // in a row
+    std::uint32_t failures_ = 0; // in a row
     std::optional<time_point> failing_since_;
 };
 
 // The call to make when due_ has come.
 struct follow_call {
     bool watch_ = false;
-    std::string after_;         // list: page after this name
+    std::string after_;          // list: page after this name
     std::uint64_t revision_ = 0; // watch: from here
-    duration wait_{};           // watch: the store may hold the answer back for so long
+    duration wait_{};            // watch: the store may hold the answer back for so long
+    bool stale_ = false;         // list: an old copy will do
 };
 
 // What an answer told.
--- a/src/directory/follower.cpp
+++ b/src/directory/follower.cpp
@@ -144,7 +144,8 @@
         telemetry::state_change("store_lost", {{"kind", kind_}, {"why", why}},
                                 telemetry::severity::warning);
     }
-    telemetry::state_change("store_call_failed", {{"kind", kind_}, {"why", why}}, telemetry::severity::debug);
+    telemetry::state_change("store_call_failed", {{"kind", kind_}, {"why", why}},
+                            telemetry::severity::debug);
     on_call_failed(state_, loop_.now(), random_);
     schedule();
 }
@@ -153,7 +154,8 @@
 {
     heard_at_ = loop_.now();
     if (news.returned_after_) {
-        const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(*news.returned_after_);
+        const auto away =
+            std::chrono::duration_cast<std::chrono::milliseconds>(*news.returned_after_);
         telemetry::state_change("store_regained",
                                 {{"kind", kind_}, {"away_ms", std::to_string(away.count())}});
     }
--- a/src/directory/registry.hpp
+++ b/src/directory/registry.hpp
@@ -3,8 +3,8 @@
 // The targets of all services as the store lists them. An entry whose identity changes is a new
 // server, also at an address that is known; at most one entry holds an address.
 //
-// While the store is away entries lapse although their targets live. What is missing when it returns
-// is kept for return_grace, within which living targets register again.
+// While the store is away entries lapse although their targets live. What is missing when it
+// returns is kept for return_grace, within which living targets register again.
 
 #include "base/clock.hpp"
 #include "directory/target_entry.hpp"
--- a/src/directory/stored_object.hpp
+++ b/src/directory/stored_object.hpp
@@ -21,7 +21,7 @@
 // One page of the objects of a kind.
 struct list_page {
     std::vector<stored_object> objects_;
-    bool more_ = false; // further pages follow
+    bool more_ = false;          // further pages follow
     std::uint64_t revision_ = 0; // of the store when it was read
 };
 
--- a/src/dispatch/call.cpp
+++ b/src/dispatch/call.cpp
@@ -54,10 +54,11 @@
 {
     state.phase_ = call_phase::finished;
     const outcome told = may_have_run(state) ? outcome::unknown : outcome::not_run;
-    // The status of a refusal promises that the request did not run, so that it goes with that alone.
-    const int fitting = told == outcome::not_run      ? status_not_run
+    // The status of a refusal promises that the request did not run, so that it goes with that
+    // alone.
+    const int fitting = told == outcome::not_run   ? status_not_run
                         : status == status_not_run ? status_broken
-                                                      : status;
+                                                   : status;
     todo.add({action_kind::answer, 0, fitting, told});
 }
 
--- a/src/dispatch/call.hpp
+++ b/src/dispatch/call.hpp
@@ -24,9 +24,9 @@
 
 // What may be done for this call, fixed when it is admitted.
 struct call_rules {
-    bool repeatable_ = false; // by its method and the service's settings
-    bool may_retry_ = true;   // false: an earlier hop does the retrying
-    bool may_hedge_ = false;  // repeatable and without a body
+    bool repeatable_ = false;                  // by its method and the service's settings
+    bool may_retry_ = true;                    // false: an earlier hop does the retrying
+    bool may_hedge_ = false;                   // repeatable and without a body
     std::uint8_t attempts_max_ = attempts_max; // 1 to attempts_max
 };
 
--- a/src/http/attempt_exchange.hpp
+++ b/src/http/attempt_exchange.hpp
@@ -45,13 +45,13 @@
     duration latency_{};
     std::optional<routing::load_report> load_;
     std::string request_id_;
-    std::string target_name_; // for the quarantine
-    std::string instance_;    // the only server that may run it; empty: any
+    std::string target_name_;            // for the quarantine
+    std::string instance_;               // the only server that may run it; empty: any
     std::shared_ptr<placement> placing_; // while its target is being looked for
-    answer_head head_;        // of its answer
-    std::string held_;        // body that has come and is not passed on yet
-    bool passing_ = false;    // the answer is being passed on
-    bool beside_ = false;     // started beside one that has not answered
+    answer_head head_;                   // of its answer
+    std::string held_;                   // body that has come and is not passed on yet
+    bool passing_ = false;               // the answer is being passed on
+    bool beside_ = false;                // started beside one that has not answered
     telemetry::span_id span_{};
     time_point answered_{}; // when the answer's head came
     int status_ = 0;
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -134,8 +134,8 @@
 
 void caller_connection::begin_answer(answer_head head)
 {
-    const bool has_body = !head_request_ && head.status_ != status_no_content &&
-                          head.status_ != status_not_modified;
+    const bool has_body =
+        !head_request_ && head.status_ != status_no_content && head.status_ != status_not_modified;
     if (has_body && !head.content_length_ && !head.chunked_) {
         head.chunked_ = true; // it ended with the target's connection; this one may go on
     }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -30,7 +30,8 @@
 constexpr duration retry_after_min = 1s;
 constexpr std::uint64_t retry_after_spread_ms = 2000;
 
-// Those that were refused for want of a free slot come back spread over this part of the wait for it.
+// Those that were refused for want of a free slot come back spread over this part of the wait for
+// it.
 constexpr double retry_spread = 0.5;
 constexpr duration retry_after_free_min = 30ms;
 
@@ -76,8 +77,8 @@
     for (const settings::service& service : config_.services_) {
         apply_targets(add_service(service));
     }
-    routes_ = std::make_shared<routes::table>(
-        routes::make_table(routes_of_settings(config_.services_)));
+    routes_ =
+        std::make_shared<routes::table>(routes::make_table(routes_of_settings(config_.services_)));
 }
 
 front::~front()
@@ -125,10 +126,11 @@
     service_state& state = *owned;
     state.config_ = std::move(config);
     const settings::service& service = state.config_;
-    state.view_ =
-        routing::make_view(service, config_.host_.data_centre_,
-                           routing::policy_named(service.policy_).value_or(routing::policy::least_wait));
-    state.connection_cap_ = std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
+    state.view_ = routing::make_view(
+        service, config_.host_.data_centre_,
+        routing::policy_named(service.policy_).value_or(routing::policy::least_wait));
+    state.connection_cap_ =
+        std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
     if (config_.directory_) {
         // All hosts together stay within the slack, in any window.
         state.view_.own_id_ = config_.host_.id_;
@@ -340,14 +342,14 @@
         probe_answer_max);
     whole_exchange* started = owned.get();
     placing_probes_.emplace(started, std::move(owned));
-    const bool began = started->start(
-        pool_of(service, target), probe_timeout,
-        [this, &service, target, started, done](const whole_answer& answer) {
-            const auto found = placing_probes_.find(started);
-            loop_.retire(std::move(found->second));
-            placing_probes_.erase(found);
-            probe_answered(service, target, answer, done);
-        });
+    const bool began =
+        started->start(pool_of(service, target), probe_timeout,
+                       [this, &service, target, started, done](const whole_answer& answer) {
+                           const auto found = placing_probes_.find(started);
+                           loop_.retire(std::move(found->second));
+                           placing_probes_.erase(found);
+                           probe_answered(service, target, answer, done);
+                       });
     if (!began) {
         placing_probes_.erase(started);
         done(std::nullopt, false);
@@ -375,8 +377,8 @@
         done(std::nullopt, false);
         return;
     }
-    const auto load = names.load_.empty() ? std::nullopt
-                                          : read_compact_load(answer.head_, names.load_);
+    const auto load =
+        names.load_.empty() ? std::nullopt : read_compact_load(answer.head_, names.load_);
     routing::probe_ended(service.view_, target, load, loop_.now());
     done(load, true);
 }
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -74,8 +74,8 @@
     // Runs what was posted. The loop's owner calls it at each wake-up.
     void run_posted();
 
-    // Puts a desired state in force, unless one as new or newer is. What it does not name is kept for
-    // the requests in progress.
+    // Puts a desired state in force, unless one as new or newer is. What it does not name is kept
+    // for the requests in progress.
     void set_desired_state(routes::desired_state state);
 
     // Configuration, targets and suspicions, as the control plane learns them.
--- a/src/http/head_text.cpp
+++ b/src/http/head_text.cpp
@@ -116,8 +116,7 @@
     return is_among(connection_fields, name) || is_among(own_fields, name) ||
            equal_ignoring_case(name, names.deadline_) ||
            (!names.caller_sets_request_id_ && equal_ignoring_case(name, names.request_id_)) ||
-           (!names.expect_instance_.empty() &&
-            equal_ignoring_case(name, names.expect_instance_)) ||
+           (!names.expect_instance_.empty() && equal_ignoring_case(name, names.expect_instance_)) ||
            is_named_by_connection(head, name);
 }
 
--- a/src/http/head_text.hpp
+++ b/src/http/head_text.hpp
@@ -19,11 +19,11 @@
 
 // What the product adds to a request towards an upstream.
 struct forwarded_fields {
-    std::string traceparent_;   // empty: none
-    std::string request_id_;    // the upstream may echo it; see answers_request
+    std::string traceparent_;     // empty: none
+    std::string request_id_;      // the upstream may echo it; see answers_request
     std::string expect_instance_; // the only one that may run it; empty: any
-    duration remaining_{};      // of the deadline
-    bool inner_retries_ = true; // false: later hops are told not to retry
+    duration remaining_{};        // of the deadline
+    bool inner_retries_ = true;   // false: later hops are told not to retry
 };
 
 // The head of a request to an upstream. The body follows with the framing of `head`.
--- a/src/http/load_fields.hpp
+++ b/src/http/load_fields.hpp
@@ -14,8 +14,8 @@
 // fields that are no numbers are ignored, since reports may mislead but must not break a call.
 std::optional<routing::load_report> read_load(const answer_head& head);
 
-// Reads "running,waiting,slots" or "running,waiting,slots,percent of the usual time" from the field of
-// that name. None when it is absent or malformed.
+// Reads "running,waiting,slots" or "running,waiting,slots,percent of the usual time" from the field
+// of that name. None when it is absent or malformed.
 std::optional<routing::load_report> read_compact_load(const answer_head& head,
                                                       std::string_view field_name);
 
--- a/src/http/placement.cpp
+++ b/src/http/placement.cpp
@@ -76,8 +76,8 @@
     if (round == rounds_ && pending_ > 0) {
         --pending_;
     }
-    const bool good =
-        usable && routing::is_good_enough(service_.view_, {&probed_.back(), 1}, front_.loop().now());
+    const bool good = usable && routing::is_good_enough(service_.view_, {&probed_.back(), 1},
+                                                        front_.loop().now());
     if (good || pending_ == 0) {
         end_round();
     }
@@ -101,8 +101,8 @@
         return;
     }
     placement_result result;
-    result.placed_ = routing::place(service_.view_, probed_, options, front_.loop().now(),
-                                    front_.random());
+    result.placed_ =
+        routing::place(service_.view_, probed_, options, front_.loop().now(), front_.random());
     routing::search_ended(service_.placing_, probed_, result.placed_.has_value());
     result.retry_after_ = routing::expected_slot(service_.view_, probed_);
     result.probed_ = probed_;
--- a/src/http/placement.hpp
+++ b/src/http/placement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-// Finds the target for one attempt by probing a few just before it is sent; see routing/placement.hpp.
+// Finds the target for one attempt by probing a few just before it is sent; see
+// routing/placement.hpp.
 
 #include "http/timer_queue.hpp"
 #include "routing/placement.hpp"
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -95,13 +95,15 @@
         return;
     }
     if (!routes_) {
-        refuse({status_unavailable, "not-run", "no desired state is known on this host yet; use another",
-                duration{start_retry}, false});
+        refuse({status_unavailable, "not-run",
+                "no desired state is known on this host yet; use another", duration{start_retry},
+                false});
         return;
     }
     route_ = routes::find_route(*routes_, find_field(head_, "Host"), head_.target_);
     if (route_ == nullptr) {
-        refuse({status_not_found, "not-run", "no route has this host and path", std::nullopt, false});
+        refuse(
+            {status_not_found, "not-run", "no route has this host and path", std::nullopt, false});
         return;
     }
     if (head_.content_length_.value_or(0) > front_.limits().max_body_bytes_) {
@@ -126,16 +128,15 @@
     const settings::service& config = service_->config_;
     const bool has_body = head_.chunked_ || head_.content_length_.value_or(0) > 0;
     using routes::repeat_rule;
-    state_.rules_.repeatable_ =
-        route_->repeat_ == repeat_rule::always ||
-        (route_->repeat_ == repeat_rule::by_method &&
-         is_among(config.repeatable_methods_, head_.method_));
+    state_.rules_.repeatable_ = route_->repeat_ == repeat_rule::always ||
+                                (route_->repeat_ == repeat_rule::by_method &&
+                                 is_among(config.repeatable_methods_, head_.method_));
     state_.rules_.attempts_max_ = static_cast<std::uint8_t>(
         std::clamp<std::size_t>(route_->attempts_max_, 1, dispatch::attempts_max));
     state_.rules_.may_retry_ = !has_field(head_, no_retry_field);
     state_.rules_.may_hedge_ = config.hedge_ && !has_body;
-    const duration longest = route_->timeout_ > duration::zero() ? route_->timeout_
-                                                                 : duration{config.deadline_};
+    const duration longest =
+        route_->timeout_ > duration::zero() ? route_->timeout_ : duration{config.deadline_};
     deadline_ = now + deadline_of(head_, front_.config().header_names_.deadline_, longest);
     telemetry::decided("request_routed", request_id_,
                        {{"route", route_->name_},
@@ -277,8 +278,7 @@
     caller_.answer_locally({decided.status_, dispatch::to_string(decided.outcome_),
                             not_run ? "the request was not run; it is safe to send it again"
                                     : "the request may have run; find out before repeating it",
-                            retry_after,
-                            false});
+                            retry_after, false});
 }
 
 // Spans of an attempt that is over: the attempt from its choice, and the passing on of its answer.
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -82,7 +82,8 @@
     void answer(const dispatch::action& decided);
     void open_attempt(dispatch::attempt_id id);
     upstream_connection* acquire_target(attempt_exchange& attempt);
-    upstream_connection* acquire_connection(attempt_exchange& attempt, routing::target_index target);
+    upstream_connection* acquire_connection(attempt_exchange& attempt,
+                                            routing::target_index target);
     std::vector<routing::target_index> tried_targets(dispatch::attempt_id before) const;
     void connect_attempt(attempt_exchange& attempt, upstream_connection* connection);
     void begin_placement(attempt_exchange& attempt);
@@ -120,7 +121,7 @@
     timer_id claim_timer_ = 0;
     telemetry::call_trace trace_;
     std::string customer_;
-    std::string request_id_; // as the caller sent it, for the log
+    std::string request_id_;              // as the caller sent it, for the log
     std::optional<duration> retry_after_; // when a slot is expected; none: not known
     std::string body_; // what of the request's body is held, from its beginning while replayable
     std::uint64_t body_bytes_ = 0;
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -86,9 +86,9 @@
 {
     attempt.placing_.reset();
     const duration left = time_left();
-    const bool wanted =
-        !attempt.beside_ ||
-        (routing::is_good_enough(service_->view_, found.probed_, front_.loop().now()) && take_hedge());
+    const bool wanted = !attempt.beside_ || (routing::is_good_enough(service_->view_, found.probed_,
+                                                                     front_.loop().now()) &&
+                                             take_hedge());
     const bool in_time =
         found.placed_ && wanted &&
         std::chrono::duration<double>{found.placed_->expected_}.count() * expected_part <
--- a/src/http/socket.hpp
+++ b/src/http/socket.hpp
@@ -62,7 +62,8 @@
     void pause_reading();
     void resume_reading();
 
-    // Has the kernel probe the other side while it is silent, and end the connection without an answer.
+    // Has the kernel probe the other side while it is silent, and end the connection without an
+    // answer.
     void keep_alive();
 
     // Closes at once, dropping queued bytes. The handler is not called any more.
--- a/src/routes/split.cpp
+++ b/src/routes/split.cpp
@@ -9,9 +9,8 @@
 
 double sum_of_weights(std::span<const route_part> parts)
 {
-    return std::accumulate(parts.begin(), parts.end(), 0.0, [](double sum, const route_part& part) {
-        return sum + part.weight_;
-    });
+    return std::accumulate(parts.begin(), parts.end(), 0.0,
+                           [](double sum, const route_part& part) { return sum + part.weight_; });
 }
 
 void restart(split_state& split, std::span<const route_part> parts, random_source& random)
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -12,17 +12,17 @@
 namespace {
 
 // Units of cost are the usual time of one request's work.
-constexpr double last_slot_cost = 1.3;  // targets slow down when they are nearly full
-constexpr double cold_factor = 2;       // a target that has just started
-constexpr double far_cost = 0.05;       // in another data centre
-constexpr double failure_cost = 4;      // that fails every time while others never do
-constexpr double usual_slowdown = 1.25; // up to which a target counts as not slowed
-constexpr std::size_t sample_factor = 3;  // targets looked at for each that is probed
-constexpr double probes_part = 0.85;      // of the bound; the rest covers what the estimate misses
-constexpr double in_flight_min = 0.2;     // below it a service is idle, and each search may go on
-constexpr double searched_min = 3;        // probes that each search may cost at least
+constexpr double last_slot_cost = 1.3;   // targets slow down when they are nearly full
+constexpr double cold_factor = 2;        // a target that has just started
+constexpr double far_cost = 0.05;        // in another data centre
+constexpr double failure_cost = 4;       // that fails every time while others never do
+constexpr double usual_slowdown = 1.25;  // up to which a target counts as not slowed
+constexpr std::size_t sample_factor = 3; // targets looked at for each that is probed
+constexpr double probes_part = 0.85;     // of the bound; the rest covers what the estimate misses
+constexpr double in_flight_min = 0.2;    // below it a service is idle, and each search may go on
+constexpr double searched_min = 3;       // probes that each search may cost at least
 constexpr double saved_probes_max = 60;
-constexpr double mean_weight = 0.02; // of one report in a moving average
+constexpr double mean_weight = 0.02;    // of one report in a moving average
 constexpr double unknown_work_ns = 1e8; // before any answer was seen
 
 double work_ns(const service_view& view)
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -33,20 +33,20 @@
 };
 
 // The targets to probe next, none of those in `exclude`: the more promising of a random sample. The
-// first round takes a half of them from this data centre; later ones look everywhere alike, so that a
-// data centre with more callers than targets finds the free ones of the others.
+// first round takes a half of them from this data centre; later ones look everywhere alike, so that
+// a data centre with more callers than targets finds the free ones of the others.
 std::vector<target_index> probe_candidates(service_view&, std::span<const target_index> exclude,
                                            std::size_t count, bool near_first, time_point now,
                                            random_source&);
 
-// Bounds probes to a number per target and second over all hosts, without knowing the other hosts: the
-// requests at the targets and the time each takes tell how many requests all hosts send (Little's law),
-// and so how many probes each of them may cost.
+// Bounds probes to a number per target and second over all hosts, without knowing the other hosts:
+// the requests at the targets and the time each takes tell how many requests all hosts send
+// (Little's law), and so how many probes each of them may cost.
 struct placement_budget {
-    double probes_per_target_ = 40;  // a second, of all hosts
-    double mean_in_flight_ = 0;      // at a target, as probes tell it
-    double mean_placed_ = 1;         // share of searches that found a target
-    double probes_ = 0;              // saved up
+    double probes_per_target_ = 40; // a second, of all hosts
+    double mean_in_flight_ = 0;     // at a target, as probes tell it
+    double mean_placed_ = 1;        // share of searches that found a target
+    double probes_ = 0;             // saved up
 };
 void search_begun(placement_budget&, double mean_latency_s);
 std::size_t take_probes(placement_budget&, std::size_t wanted);
--- a/src/routing/retry_budget.hpp
+++ b/src/routing/retry_budget.hpp
@@ -7,9 +7,9 @@
 
 // Starts empty: extra attempts never exceed the fraction, from the first call on.
 struct retry_budget {
-    double ratio_ = 0; // extra attempts per first attempt
-    double extra_ = 0; // extra attempts saved up
-    double most_ = 20; // that can be saved up
+    double ratio_ = 0;         // extra attempts per first attempt
+    double extra_ = 0;         // extra attempts saved up
+    double most_ = 20;         // that can be saved up
     double hedge_reserve_ = 2; // saved up for retries before hedges may take any
 };
 
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -35,8 +35,9 @@
     return fmt::format("{}:{}", address.ip_, address.port_);
 }
 
-// The listed targets that this host uses when it does not know the others: those that rank first for
-// it, a half of them in its data centre. Other hosts rank them otherwise, so that all are used alike.
+// The listed targets that this host uses when it does not know the others: those that rank first
+// for it, a half of them in its data centre. Other hosts rank them otherwise, so that all are used
+// alike.
 std::vector<target_index> own_subset(const service_view& view)
 {
     std::vector<std::pair<std::uint64_t, target_index>> near;
@@ -312,7 +313,8 @@
 std::optional<duration> hedge_after(const service_view& view, time_point /*now*/)
 {
     const bool is_short_of_capacity = in_use(view) > hedge_in_use_max;
-    if (!view.hedge_ || is_short_of_capacity || !has_extra(view.retries_, view.retries_.hedge_reserve_)) {
+    if (!view.hedge_ || is_short_of_capacity ||
+        !has_extra(view.retries_, view.retries_.hedge_reserve_)) {
         return std::nullopt;
     }
     return quantile(view.latencies_, hedge_quantile);
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -41,7 +41,7 @@
     std::size_t next_in_turn_ = 0;                                // round robin
     report_pool reports_;                                         // hot-cold
     double mean_foreign_ = 0; // moving average of the other hosts' requests in flight, all targets
-    double mean_latency_ns_ = 0;    // moving average of answered attempts, all targets
+    double mean_latency_ns_ = 0; // moving average of answered attempts, all targets
     double latencies_heard_ = 0;
     double mean_failure_ratio_ = 0; // moving average of attempts, all targets
     latency_histogram latencies_;
@@ -65,8 +65,8 @@
 std::optional<target_index> choose(service_view&, std::span<const target_index> exclude,
                                    time_point now, random_source&);
 
-// The targets that may get an attempt, ascending: of this host's subset, or of the whole list when none
-// of the subset is eligible.
+// The targets that may get an attempt, ascending: of this host's subset, or of the whole list when
+// none of the subset is eligible.
 std::vector<target_index> eligible_targets(const service_view&,
                                            std::span<const target_index> exclude);
 
@@ -94,8 +94,8 @@
 // Call take_hedge when it starts.
 std::optional<duration> hedge_after(const service_view&, time_point now);
 
-// The same for a request with a goal, where a free target is looked for before the second attempt: once
-// the goal is missed, an answer that was lost is more likely than a slow one.
+// The same for a request with a goal, where a free target is looked for before the second attempt:
+// once the goal is missed, an answer that was lost is more likely than a slow one.
 std::optional<duration> hedge_within(const service_view&, duration goal);
 
 // Calls in progress per slot of the service, of all hosts, as far as it is known; above 1 calls
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -98,8 +98,8 @@
     bool hedge_ = true;                 // repeatable requests only
 };
 
-// Names of the header fields that callers, entry hosts and targets exchange. An empty name: the field
-// is not used.
+// Names of the header fields that callers, entry hosts and targets exchange. An empty name: the
+// field is not used.
 struct header_names {
     std::string request_id_ = "Savoryscale-Request-Id"; // echoed in answers
     bool caller_sets_request_id_ = false;               // else each attempt gets one here
@@ -120,14 +120,14 @@
 // Routes, services and targets come from a store that every entry host follows by itself.
 struct directory {
     endpoint store_;
-    seconds drain_{2};            // within which a leaving target gets no new request
-    seconds configuration_{2};    // within which a desired state is in force
-    seconds retry_window_{10};    // over which second sends are counted
-    double retry_ratio_ = 0.2;    // second sends per request, of all hosts
-    double retry_slack_ = 50;     // second sends beyond that, of all hosts together
-    double probes_per_target_ = 40; // a second, of all hosts
+    seconds drain_{2};                  // within which a leaving target gets no new request
+    seconds configuration_{2};          // within which a desired state is in force
+    seconds retry_window_{10};          // over which second sends are counted
+    double retry_ratio_ = 0.2;          // second sends per request, of all hosts
+    double retry_slack_ = 50;           // second sends beyond that, of all hosts together
+    double probes_per_target_ = 40;     // a second, of all hosts
     std::uint32_t subset_targets_ = 48; // of a service that this host uses; 0: all
-    service service_;             // what routes and targets do not tell of a service
+    service service_;                   // what routes and targets do not tell of a service
 };
 
 // Where spans go.
@@ -139,8 +139,8 @@
 
 // How state changes are logged.
 struct logging {
-    bool json_ = true;           // JSON lines; else plain text
-    std::string level_ = "info"; // debug, info, warning, error
+    bool json_ = true;                     // JSON lines; else plain text
+    std::string level_ = "info";           // debug, info, warning, error
     std::uint32_t lines_per_second_ = 500; // beyond it lines are dropped and counted
 };
 
--- a/src/telemetry/line_sink.hpp
+++ b/src/telemetry/line_sink.hpp
@@ -24,8 +24,8 @@
     {
     }
 
-    // Queues one line without its end. Lines that may be dropped for their number are told apart from
-    // those that are few by nature.
+    // Queues one line without its end. Lines that may be dropped for their number are told apart
+    // from those that are few by nature.
     void append(std::string_view line, bool bounded, time_point now);
 
     // Writes as much as the reader takes.
--- a/src/telemetry/log.hpp
+++ b/src/telemetry/log.hpp
@@ -36,8 +36,8 @@
                   severity level = severity::info);
 
 // Logs one decision on a request, or on what this host believes: the id of the request, the inputs
-// that decided and their age, the outcome. Beyond logging.lines_per_second such lines are dropped and
-// counted. Needs start_line_log; else nothing is written.
+// that decided and their age, the outcome. Beyond logging.lines_per_second such lines are dropped
+// and counted. Needs start_line_log; else nothing is written.
 void decided(std::string_view event, std::string_view request_id,
              std::initializer_list<log_field> fields);
 
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -66,6 +66,35 @@
     LONGS_EQUAL(12, directory::next_call(state).revision_);
 }
 
+// The first list may be an old copy; nothing is believed for long before the watch has confirmed
+// it.
+TEST(follow, an_old_copy_is_brought_up_to_date_at_once)
+{
+    state.options_.first_list_stale_ = true;
+    state.options_.pause_ = 1s;
+    CHECK(directory::next_call(state).stale_);
+    list_whole(10);
+    CHECK(state.due_ == now);
+    CHECK(directory::next_call(state).wait_ < 1s);
+    directory::on_changes(state, {{named("a")}, 12}, now);
+    CHECK(state.due_ == now + 1s);
+    CHECK(directory::next_call(state).wait_ == state.options_.wait_);
+}
+
+// The history after the old copy is gone (or a call failed): only an exact list leads to the
+// present.
+TEST(follow, an_old_copy_is_not_asked_for_again_when_it_led_nowhere)
+{
+    state.options_.first_list_stale_ = true;
+    list_whole(10);
+    directory::on_history_gone(state, now);
+    CHECK(!directory::next_call(state).stale_);
+    list_whole(20);
+    CHECK(state.confirmed_);
+    directory::on_call_failed(state, now, random);
+    CHECK(!directory::next_call(state).stale_);
+}
+
 // A store that forgot its history left a watch from before it waiting (Calloway, scale-1).
 TEST(follow, after_a_lost_watch_the_list_is_read_anew)
 {
--- a/tests/line_sink_test.cpp
+++ b/tests/line_sink_test.cpp
@@ -17,7 +17,10 @@
     std::array<int, 2> ends{};
     time_point now = time_point{} + 10s;
 
-    void setup() override { LONGS_EQUAL(0, ::pipe(ends.data())); }
+    void setup() override
+    {
+        LONGS_EQUAL(0, ::pipe(ends.data()));
+    }
     void teardown() override
     {
         ::close(ends[0]);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,4 +1,5 @@
-// Placement by probes: the choice itself, and what callers get of it under the load that it answers.
+// Placement by probes: the choice itself, and what callers get of it under the load that it
+// answers.
 
 #include "routing/placement.hpp"
 #include "routing/service_view.hpp"
@@ -148,8 +149,8 @@
     CHECK(near_later > 20 && near_later < 160);
 }
 
-// 136 hosts, 246 targets, 42 probes a target and second (the grown Calloway): whatever the load, all
-// hosts together stay within the bound.
+// 136 hosts, 246 targets, 42 probes a target and second (the grown Calloway): whatever the load,
+// all hosts together stay within the bound.
 TEST(placement, probes_of_all_hosts_stay_within_their_bound)
 {
     for (const double per_second : {100.0, 900.0, 1800.0, 2600.0}) {
@@ -199,8 +200,9 @@
 
 namespace {
 
-// The load that placement answers, in virtual time: many hosts with few requests each, targets of two
-// slots whose neighbours slow them four times for a quarter of the time, some hundred milliseconds long.
+// The load that placement answers, in virtual time: many hosts with few requests each, targets of
+// two slots whose neighbours slow them four times for a quarter of the time, some hundred
+// milliseconds long.
 class noisy_farm {
 public:
     static constexpr int target_count = 22;
@@ -250,17 +252,16 @@
         for (target& each : targets_) {
             if (now_ >= each.noise_until_) {
                 each.slowdown_ = uniform_unit(random_) < 0.25 ? 4 : 1;
-                each.noise_until_ =
-                    now_ + from_seconds(-0.3 * std::log(1 - uniform_unit(random_)));
+                each.noise_until_ = now_ + from_seconds(-0.3 * std::log(1 - uniform_unit(random_)));
             }
             std::erase_if(each.busy_until_, [&](time_point end) { return end <= now_; });
         }
         while (!ends_.empty() && ends_.begin()->first <= now_) {
             const running ended = ends_.begin()->second;
-            routing::attempt_ended(
-                *ended.host_,
-                {ended.target_, routing::attempt_end::answered, ended.latency_, load_of(ended.target_)},
-                ends_.begin()->first);
+            routing::attempt_ended(*ended.host_,
+                                   {ended.target_, routing::attempt_end::answered, ended.latency_,
+                                    load_of(ended.target_)},
+                                   ends_.begin()->first);
             ends_.erase(ends_.begin());
         }
     }
@@ -284,9 +285,8 @@
         std::vector<probed_target> all;
         std::vector<target_index> seen;
         for (std::size_t round = 0; round < options.rounds_max_; ++round) {
-            for (const target_index next :
-                 routing::probe_candidates(host, seen, options.round_size_, round == 0, now_,
-                                           random_)) {
+            for (const target_index next : routing::probe_candidates(
+                     host, seen, options.round_size_, round == 0, now_, random_)) {
                 seen.push_back(next);
                 all.push_back({next, load_of(next)});
             }
@@ -311,8 +311,9 @@
             std::sort(ends.begin(), ends.end());
             begins = ends[ends.size() - 2];
         }
-        const double spread = std::exp(0.3 * (uniform_unit(random_) + uniform_unit(random_) +
-                                              uniform_unit(random_) - 1.5) * 2);
+        const double spread = std::exp(
+            0.3 * (uniform_unit(random_) + uniform_unit(random_) + uniform_unit(random_) - 1.5) *
+            2);
         const double seconds = std::chrono::duration<double>{mean_work}.count() * spread;
         const time_point ends = begins + from_seconds(seconds * taken.slowdown_);
         taken.busy_until_.push_back(ends);
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -68,8 +68,8 @@
 
 TEST(platform_adapter, an_entry_of_another_writer_names_no_target)
 {
-    for (const char* field : {"service", "address", "zone", "version", "slots", "state",
-                              "warmup_left_s", "sequence"}) {
+    for (const char* field :
+         {"service", "address", "zone", "version", "slots", "state", "warmup_left_s", "sequence"}) {
         CHECK(is_refused(field, json{}));
         CHECK(is_refused(field, json::object()));
     }
@@ -152,7 +152,12 @@
 TEST(platform_adapter, spells_lists_and_watches)
 {
     STRCMP_EQUAL("/-/objects/servers", spoken.call_path_("servers", {}).c_str());
-    STRCMP_EQUAL("/-/objects/servers?after=i-7", spoken.call_path_("servers", {false, "i-7", 0, {}}).c_str());
+    STRCMP_EQUAL("/-/objects/servers?after=i-7",
+                 spoken.call_path_("servers", {false, "i-7", 0, {}, false}).c_str());
+    STRCMP_EQUAL("/-/objects/servers?after=i-7&serializable=1",
+                 spoken.call_path_("servers", {false, "i-7", 0, {}, true}).c_str());
+    STRCMP_EQUAL("/-/objects/servers?serializable=1",
+                 spoken.call_path_("servers", {false, "", 0, {}, true}).c_str());
     STRCMP_EQUAL("/-/objects/config?watch=530&wait_ms=20000",
-                 spoken.call_path_("config", {true, {}, 530, 20s}).c_str());
+                 spoken.call_path_("config", {true, {}, 530, 20s, false}).c_str());
 }
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -40,7 +40,10 @@
         return count;
     }
 
-    void list(const std::vector<target_entry>& entries) { directory::on_list(all, entries, now); }
+    void list(const std::vector<target_entry>& entries)
+    {
+        directory::on_list(all, entries, now);
+    }
 };
 
 TEST(registry, what_is_missing_from_a_list_is_gone_at_once)
--- a/tests/routed_host_test.cpp
+++ b/tests/routed_host_test.cpp
@@ -37,7 +37,9 @@
     using answer_function = std::function<std::string(const std::string& request)>;
 
     explicit sealing_target(answer_function run)
-        : run_{std::move(run)}, server_{[this](script_connection& connection, int) { serve(connection); }}
+        : run_{std::move(run)}, server_{[this](script_connection& connection, int) {
+              serve(connection);
+          }}
     {
     }
 
--- a/tests/routes_test.cpp
+++ b/tests/routes_test.cpp
@@ -33,15 +33,13 @@
 
 TEST_GROUP(routes)
 {
-    routes::table all = routes::make_table({3,
-                                            {make_route("root", "a.example", "/"),
-                                             make_route("lots", "a.example", "/lots/"),
-                                             make_route("old", "a.example", "/lots/old/"),
-                                             make_route("other", "b.example", "/lots/"),
-                                             make_route("loose", "", "/photo"),
-                                             make_route("any", "", "/photos/")},
-                                            {},
-                                            {}});
+    routes::table all = routes::make_table(
+        {3,
+         {make_route("root", "a.example", "/"), make_route("lots", "a.example", "/lots/"),
+          make_route("old", "a.example", "/lots/old/"), make_route("other", "b.example", "/lots/"),
+          make_route("loose", "", "/photo"), make_route("any", "", "/photos/")},
+         {},
+         {}});
 };
 
 TEST(routes, the_longest_prefix_of_the_host_wins)
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// An entry host that follows a directory, on a thread of its own, with a scripted store and targets on
-// loopback. The store speaks the users' dialect as far as lists and watches go.
+// An entry host that follows a directory, on a thread of its own, with a scripted store and targets
+// on loopback. The store speaks the users' dialect as far as lists and watches go.
 
 #include "directory/directory_task.hpp"
 #include "http/event_loop.hpp"
@@ -28,10 +28,7 @@
 // Objects by kind and name, with one revision for all.
 class scripted_store {
 public:
-    scripted_store()
-        : server_{[this](script_connection& connection, int) { serve(connection); }}
-    {
-    }
+    scripted_store() : server_{[this](script_connection& connection, int) { serve(connection); }} {}
 
     ~scripted_store()
     {
@@ -49,8 +46,9 @@
     {
         const std::lock_guard lock{mutex_};
         ++revision_;
-        objects_[kind][name] = {{"metadata", {{"name", name}, {"revision", revision_}, {"created", 1}}},
-                                {"spec", std::move(spec)}};
+        objects_[kind][name] = {
+            {"metadata", {{"name", name}, {"revision", revision_}, {"created", 1}}},
+            {"spec", std::move(spec)}};
         log_.push_back({revision_, kind, objects_[kind][name], false});
         changed_.notify_all();
     }
@@ -129,9 +127,9 @@
 inline nlohmann::json route_json(std::string name, std::string prefix, std::string type,
                                  std::string service)
 {
-    return {{"name", name},        {"host", "a.example"}, {"path_prefix", prefix},
-            {"route_type", type},  {"timeout_s", 2},      {"latency_goal_s", 1},
-            {"max_attempts", 2},   {"priority", 1},       {"service", service}};
+    return {{"name", name},       {"host", "a.example"}, {"path_prefix", prefix},
+            {"route_type", type}, {"timeout_s", 2},      {"latency_goal_s", 1},
+            {"max_attempts", 2},  {"priority", 1},       {"service", service}};
 }
 
 inline nlohmann::json state_json(std::uint64_t version, nlohmann::json all_routes)
@@ -217,8 +215,8 @@
 
     [[nodiscard]] std::uint16_t port() const { return port_; }
 
-    // Waits until the host holds the version and the number of usable targets of the service; whether
-    // it does within some seconds.
+    // Waits until the host holds the version and the number of usable targets of the service;
+    // whether it does within some seconds.
     bool holds(std::uint64_t version, std::size_t targets, const std::string& service = "ledger")
     {
         for (int i = 0; i < 600; ++i) {
