--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -4,7 +4,10 @@
 #include "http/event_loop.hpp"
 #include "telemetry/log.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
@@ -145,6 +148,16 @@
 
 void directory_task::tell_changed()
 {
+    constexpr std::array<std::string_view, 3> changes{"joined", "leaving", "gone"};
+    for (const target_news& news : std::exchange(registry_.news_, {})) {
+        const settings::endpoint& address = news.entry_.address_;
+        telemetry::state_change(
+            "target_changed",
+            {{"service", news.entry_.service_},
+             {"target", fmt::format("{}:{}", address.ip_, address.port_)},
+             {"instance", news.entry_.id_},
+             {"change", std::string{changes[static_cast<std::size_t>(news.change_)]}}});
+    }
     for (const std::string& service : std::exchange(registry_.changed_, {})) {
         auto targets = targets_of(registry_, service);
         const auto leaving = std::count_if(targets.begin(), targets.end(),
--- a/src/directory/registry.cpp
+++ b/src/directory/registry.cpp
@@ -19,6 +19,7 @@
 entry_map::iterator drop(registry& all, entry_map::iterator gone)
 {
     all.changed_.insert(gone->second.entry_.service_);
+    all.news_.push_back({gone->second.entry_, target_change::gone});
     return all.entries_.erase(gone);
 }
 
@@ -69,7 +70,14 @@
     if (!added && known.entry_ == entry && !known.missing_since_) {
         return;
     }
-    if (added || !is_same_server(known.entry_, entry)) {
+    const bool is_new = added || !is_same_server(known.entry_, entry);
+    if (is_new) {
+        all.news_.push_back({entry, target_change::joined});
+    }
+    if (entry.leaving_ && (is_new || !known.entry_.leaving_)) {
+        all.news_.push_back({entry, target_change::leaving});
+    }
+    if (is_new) {
         known.incarnation_ = ++all.last_incarnation_;
         all.changed_.insert(known.entry_.service_);
     }
--- a/src/directory/registry.hpp
+++ b/src/directory/registry.hpp
@@ -30,11 +30,20 @@
     std::optional<time_point> missing_since_;
 };
 
+enum class target_change : std::uint8_t { joined, leaving, gone };
+
+// What became of one target, for the log.
+struct target_news {
+    target_entry entry_;
+    target_change change_ = target_change::joined;
+};
+
 struct registry {
     std::map<std::string, known_entry, std::less<>> entries_; // by id
     std::uint64_t last_incarnation_ = 0;
     std::optional<time_point> store_returned_;
     std::set<std::string> changed_; // services whose targets are to be told anew
+    std::vector<target_news> news_; // since they were last taken
 };
 
 // The whole list was read, oldest entry first.
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -331,7 +331,8 @@
     }
 }
 
-void front::probe_now(service_state& service, routing::target_index target, probe_function done)
+void front::probe_now(service_state& service, routing::target_index target,
+                      const probe_function& done)
 {
     metrics_.probes_.Increment();
     const settings::endpoint& address = routing::address_of(service.view_, target);
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -12,6 +12,8 @@
 #include "routing/service_view.hpp"
 #include "telemetry/log.hpp"
 
+#include <fmt/format.h>
+
 #include <chrono>
 #include <utility>
 
@@ -242,8 +244,18 @@
     if (finished && attempt.status_ >= status_server_error) {
         end = routing::attempt_end::failed;
     }
+    const routing::target_state& target = service_->view_.targets_[attempt.target_];
+    const time_point ejected_before = target.ejected_until_;
     routing::attempt_ended(service_->view_, {attempt.target_, end, attempt.latency_, attempt.load_},
                            now);
+    if (target.ejected_until_ > ejected_before) {
+        telemetry::state_change("target_ejected",
+                                {{"service", service_->config_.name_},
+                                 {"target", attempt.target_name_},
+                                 {"failure_ratio", fmt::format("{:.2f}", target.failure_ratio_)},
+                                 {"for_ms", log_ms(target.ejected_until_ - now)}},
+                                telemetry::severity::warning);
+    }
     if (end == routing::attempt_end::broken) {
         front_.request_broke(*service_, attempt.target_, fingerprint_);
     }
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -99,6 +99,20 @@
     CHECK(all.changed_.count("ledger") > 0);
 }
 
+TEST(registry, tells_who_joined_is_leaving_and_is_gone)
+{
+    list({entry("i-1", "10.0.0.1")});
+    target_entry leaving = entry("i-1", "10.0.0.1");
+    leaving.leaving_ = true;
+    directory::on_entry(all, leaving);
+    directory::on_entry(all, leaving);
+    directory::on_removed(all, "i-1", now);
+    LONGS_EQUAL(3, all.news_.size());
+    CHECK(all.news_[0].change_ == directory::target_change::joined);
+    CHECK(all.news_[1].change_ == directory::target_change::leaving);
+    CHECK(all.news_[2].change_ == directory::target_change::gone);
+}
+
 TEST(registry, an_unchanged_entry_changes_nothing)
 {
     list({entry("i-1", "10.0.0.1")});
