Give each host the part of the second sends that its requests have

Cause: a host saved up retry_slack / hosts_max second sends, with hosts_max 24 in the template; the grown sites have 136 and 140 hosts, whose sum (1,190 at 8.75 each) is far over the slack of 210. Change: the part is that of the requests at the targets which are the host's own, from the same figures as the probe bound; 1.2 at least.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -132,13 +132,10 @@
     state.connection_cap_ =
         std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
     if (config_.directory_) {
-        // All hosts together stay within the slack, in any window.
         state.view_.own_id_ = config_.host_.id_;
         state.view_.subset_max_ = config_.directory_->subset_targets_;
         state.placing_.probes_per_target_ = config_.directory_->probes_per_target_;
-        routing::retry_budget& budget = state.view_.retries_;
-        budget.most_ = config_.directory_->retry_slack_ / config_.host_.hosts_max_;
-        budget.hedge_reserve_ = std::min(budget.hedge_reserve_, budget.most_ / 3);
+        bound_second_sends(state);
     }
     state.probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
     state.probe_bytes_share_ = 1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
@@ -331,6 +328,16 @@
     }
 }
 
+// All hosts together stay within the slack, in any window.
+void front::bound_second_sends(service_state& service)
+{
+    routing::retry_budget& budget = service.view_.retries_;
+    budget.most_ = routing::second_sends_max(service.placing_, config_.directory_->retry_slack_,
+                                             service.target_count_);
+    budget.hedge_reserve_ = budget.most_ / 3;
+    budget.extra_ = std::min(budget.extra_, budget.most_);
+}
+
 void front::probe_now(service_state& service, routing::target_index target,
                       const probe_function& done)
 {
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -109,6 +109,7 @@
     // Probes the target once and tells what it said, and whether it can take requests.
     using probe_function =
         std::function<void(const std::optional<routing::load_report>& load, bool usable)>;
+    void bound_second_sends(service_state& service);
     void probe_now(service_state& service, routing::target_index target,
                    const probe_function& done);
     admission::verdict admit(std::string_view customer, const service_state& service);
--- a/src/http/placement.cpp
+++ b/src/http/placement.cpp
@@ -103,7 +103,9 @@
     placement_result result;
     result.placed_ =
         routing::place(service_.view_, probed_, options, front_.loop().now(), front_.random());
-    routing::search_ended(service_.placing_, probed_, result.placed_.has_value());
+    routing::search_ended(service_.placing_, probed_, routing::own_in_flight(service_.view_),
+                          result.placed_.has_value());
+    front_.bound_second_sends(service_);
     result.retry_after_ = routing::expected_slot(service_.view_, probed_);
     result.probed_ = probed_;
     std::exchange(done_, {})(result);
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -22,8 +22,10 @@
 constexpr double in_flight_min = 0.2;    // below it a service is idle, and each search may go on
 constexpr double searched_min = 3;       // probes that each search may cost at least
 constexpr double saved_probes_max = 60;
-constexpr double mean_weight = 0.02;    // of one report in a moving average
-constexpr double unknown_work_ns = 1e8; // before any answer was seen
+constexpr double second_sends_min = 1.2; // just enough for one
+constexpr double slack_part = 0.6;       // the rest covers hosts that have the least
+constexpr double mean_weight = 0.02;     // of one report in a moving average
+constexpr double unknown_work_ns = 1e8;  // before any answer was seen
 
 double work_ns(const service_view& view)
 {
@@ -144,8 +146,17 @@
     return taken;
 }
 
-void search_ended(placement_budget& budget, std::span<const probed_target> probed, bool placed)
+double second_sends_max(const placement_budget& budget, double slack, std::size_t targets)
 {
+    const double all = budget.mean_in_flight_ * static_cast<double>(targets);
+    const double part = all > 0 ? std::min(1.0, budget.mean_own_ / all) : 0;
+    return std::max(second_sends_min, slack * slack_part * part);
+}
+
+void search_ended(placement_budget& budget, std::span<const probed_target> probed,
+                  double own_in_flight, bool placed)
+{
+    budget.mean_own_ += mean_weight * (own_in_flight - budget.mean_own_);
     for (const probed_target& one : probed) {
         if (one.load_) {
             budget.mean_in_flight_ +=
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -45,12 +45,18 @@
 struct placement_budget {
     double probes_per_target_ = 40; // a second, of all hosts
     double mean_in_flight_ = 0;     // at a target, as probes tell it
+    double mean_own_ = 0;           // requests of this host at all targets
     double mean_placed_ = 1;        // share of searches that found a target
     double probes_ = 0;             // saved up
 };
 void search_begun(placement_budget&, double mean_latency_s);
 std::size_t take_probes(placement_budget&, std::size_t wanted);
-void search_ended(placement_budget&, std::span<const probed_target>, bool placed);
+void search_ended(placement_budget&, std::span<const probed_target>, double own_in_flight,
+                  bool placed);
+
+// Second sends that this host may save up of `slack`, which all hosts have together: its part is
+// that of the requests at the targets which are its own.
+double second_sends_max(const placement_budget&, double slack, std::size_t targets);
 
 // Whether the search may end: one of them would start the attempt at once, at its usual speed.
 bool is_good_enough(const service_view&, std::span<const probed_target>, time_point now);
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -329,14 +329,20 @@
     return std::max(goal, duration{static_cast<std::int64_t>(least)});
 }
 
-double in_use(const service_view& view)
+double own_in_flight(const service_view& view)
 {
     double own = 0;
-    double targets = 0;
     for (const auto& target : view.targets_) {
         own += target.in_flight_;
-        targets += target.listed_ ? 1 : 0;
     }
+    return own;
+}
+
+double in_use(const service_view& view)
+{
+    const double own = own_in_flight(view);
+    const auto targets = static_cast<double>(std::count_if(
+        view.targets_.begin(), view.targets_.end(), [](const auto& one) { return one.listed_; }));
     if (targets == 0 || view.slots_per_target_ == 0) {
         return 0;
     }
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -70,6 +70,9 @@
 std::vector<target_index> eligible_targets(const service_view&,
                                            std::span<const target_index> exclude);
 
+// Attempts of this host that have not ended.
+double own_in_flight(const service_view&);
+
 // Where to connect. The reference holds until update_targets.
 const settings::endpoint& address_of(const service_view&, target_index);
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -165,7 +165,7 @@
                 const std::size_t taken = routing::take_probes(budget, 16);
                 probes += taken;
                 const std::vector<probed_target> all(taken, probed(0, in_flight));
-                routing::search_ended(budget, all, true);
+                routing::search_ended(budget, all, 1, true);
             }
             const double each = static_cast<double>(probes) / searches;
             CHECK(each >= 2);
@@ -174,6 +174,33 @@
     }
 }
 
+// 13 hosts share 56 second sends, 136 share 210, however unevenly the callers are spread.
+TEST(placement, second_sends_saved_up_by_all_hosts_stay_within_the_slack)
+{
+    struct site {
+        int hosts_;
+        std::size_t targets_;
+        double slack_;
+    };
+    for (const site& one :
+         {site{13, 28, 56}, site{17, 37, 62}, site{136, 246, 210}, site{140, 319, 214}}) {
+        double all = 0;
+        for (int host = 0; host < one.hosts_; ++host) {
+            routing::placement_budget budget;
+            const double own = host % 2 == 0 ? 1.5 : 0.5; // of the mean
+            const double in_flight = 0.6 * static_cast<double>(one.targets_) / one.hosts_;
+            for (int i = 0; i < 500; ++i) {
+                routing::search_ended(budget, std::vector{probed(0, 0.6)}, own * in_flight, true);
+            }
+            const double most = routing::second_sends_max(budget, one.slack_, one.targets_);
+            CHECK(most >= 1.15);
+            all += most;
+        }
+        CHECK(all <= one.slack_);
+        CHECK(all >= one.slack_ / 3);
+    }
+}
+
 TEST(placement, a_host_uses_a_subset_of_a_large_service_and_hosts_use_all_alike)
 {
     std::vector<int> uses(246);
