Check that what may run once is not sent again where a second send was to be had

Cause: code broken on purpose went unseen: the budget of second sends was empty in the tests, and an older desired state was refused by two layers of which one alone suffices. Change: the tests save up a second send first, the front's own refusal of an older state has a test, and a repeatable request is shown to go on.

--- a/tests/routed_host_test.cpp
+++ b/tests/routed_host_test.cpp
@@ -89,6 +89,14 @@
     return caller.read_answer();
 }
 
+// Second sends are a part of first ones; this many allow one.
+void save_up_second_sends(std::uint16_t port)
+{
+    for (int i = 0; i < 12; ++i) {
+        ask(port, lookup);
+    }
+}
+
 } // namespace
 
 TEST_GROUP(routed_host)
@@ -141,18 +149,63 @@
 
 TEST(routed_host, a_success_without_seal_is_no_answer_and_an_unsafe_request_runs_once)
 {
-    sealing_target bare{[](const std::string& request) {
-        return ok_answer("forged", fmt::format("X-Id: {}\r\n", field(request, "X-Id")));
-    }};
-    sealing_target other{sealed_ok};
-    store.put("servers", "i-1", server_json(bare.port()));
+    std::atomic<bool> forging = false;
+    const auto answer_of = [&](const std::string& request) {
+        return forging ? ok_answer("forged", fmt::format("X-Id: {}\r\n", field(request, "X-Id")))
+                       : sealed_ok(request);
+    };
+    sealing_target one{answer_of};
+    sealing_target other{answer_of};
+    store.put("servers", "i-1", server_json(one.port()));
+    store.put("servers", "i-2", server_json(other.port()));
     publish(1);
     running_routed_host host{store.port()};
-    CHECK(host.holds(1, 1));
+    CHECK(host.holds(1, 2));
+    save_up_second_sends(host.port());
+    forging = true;
+    const int before = one.requests() + other.requests();
     const std::string answer = ask(host.port(), commit);
     CHECK(contains(answer, " 502 "));
     CHECK(!contains(answer, "forged"));
-    LONGS_EQUAL(1, bare.requests());
+    LONGS_EQUAL(1, one.requests() + other.requests() - before);
+}
+
+TEST(routed_host, a_repeatable_request_goes_on_to_another_target)
+{
+    std::atomic<int> failures_left = 0;
+    const auto answer_of = [&](const std::string& request) {
+        return failures_left-- > 0 ? std::string{} : sealed_ok(request);
+    };
+    sealing_target one{answer_of};
+    sealing_target other{answer_of};
+    store.put("servers", "i-1", server_json(one.port()));
+    store.put("servers", "i-2", server_json(other.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.holds(1, 2));
+    save_up_second_sends(host.port());
+    failures_left = 1;
+    const int before = one.requests() + other.requests();
+    CHECK(contains(ask(host.port(), lookup), "done"));
+    LONGS_EQUAL(2, one.requests() + other.requests() - before);
+}
+
+TEST(routed_host, the_front_takes_no_older_desired_state)
+{
+    running_routed_host host{store.port()};
+    routes::desired_state newer;
+    newer.version_ = 9;
+    routes::desired_state older;
+    older.version_ = 7;
+    older.routes_.emplace_back().parts_.push_back({"ledger", 1});
+    std::shared_ptr<const routes::table> held;
+    host.run([&](http::front& task) {
+        task.set_desired_state(newer);
+        task.set_desired_state(older);
+        held = task.routes();
+    });
+    LONGS_EQUAL(9, held->state_.version_);
+    LONGS_EQUAL(0, held->state_.routes_.size());
 }
 
 TEST(routed_host, a_refusal_without_proof_is_not_passed_on)
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -16,6 +16,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
@@ -169,7 +170,7 @@
     followed.service_.policy_ = "probed";
     followed.service_.not_run_header_ = "X-Not-Run";
     followed.service_.not_run_statuses_ = {421};
-    followed.service_.retry_ratio_ = 1;
+    followed.service_.retry_ratio_ = 0.15;
     config.directory_ = followed;
     config.header_names_.request_id_ = "X-Id";
     config.header_names_.caller_sets_request_id_ = true;
@@ -215,17 +216,28 @@
 
     [[nodiscard]] std::uint16_t port() const { return port_; }
 
+    // Runs `action` on the host's thread and waits for it.
+    void run(const std::function<void(http::front&)>& action)
+    {
+        std::promise<void> done;
+        front_->post([&](http::front& task) {
+            action(task);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     // Waits until the host holds the version and the number of usable targets of the service;
     // whether it does within some seconds.
     bool holds(std::uint64_t version, std::size_t targets, const std::string& service = "ledger")
     {
         for (int i = 0; i < 600; ++i) {
-            std::promise<bool> answered;
-            front_->post([&](http::front& task) {
+            bool held = false;
+            run([&](http::front& task) {
                 const bool known = task.routes() && task.routes()->state_.version_ >= version;
-                answered.set_value(known && task.target_count(service) == targets);
+                held = known && task.target_count(service) == targets;
             });
-            if (answered.get_future().get()) {
+            if (held) {
                 return true;
             }
             std::this_thread::sleep_for(std::chrono::milliseconds{10});
