Split the HTTP task's probes and services from its calls

Change: front_probes.cpp and front_services.cpp, moved as they were; periodic probes arm themselves.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -23,7 +23,6 @@
 
 constexpr duration tick_interval = 1s;
 constexpr duration stop_check_interval = 10ms;
-constexpr duration probe_interval = 25ms;
 constexpr duration load_interval = 100ms; // between two looks at how full the services are
 
 // Callers that were refused without a measured wait are asked to return within this time.
@@ -35,12 +34,6 @@
 constexpr double retry_spread = 0.5;
 constexpr duration retry_after_free_min = 30ms;
 
-// Without a word from a target by then, it counts as failing.
-constexpr duration probe_timeout = 250ms;
-constexpr std::size_t probe_answer_max = 4096;
-
-constexpr int status_ok = 200;
-
 // The settings name one prefix a service, for every host.
 routes::desired_state routes_of_settings(const std::vector<settings::service>& services)
 {
@@ -93,7 +86,7 @@
 {
     loop_.after(tick_interval, [this] { tick(); });
     if (!config_.directory_) {
-        loop_.after(probe_interval, [this] { probe_targets(); });
+        probe_targets();
         loop_.after(load_interval, [this] { tell_admission_load(); });
     }
     return loop_.listen(config_.listen_.address_, config_.listen_.tls_,
@@ -120,63 +113,6 @@
     }
 }
 
-service_state& front::add_service(settings::service config)
-{
-    auto owned = std::make_unique<service_state>();
-    service_state& state = *owned;
-    state.config_ = std::move(config);
-    const settings::service& service = state.config_;
-    state.view_ = routing::make_view(
-        service, config_.host_.data_centre_,
-        routing::policy_named(service.policy_).value_or(routing::policy::least_wait));
-    state.connection_cap_ =
-        std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
-    if (config_.directory_) {
-        state.view_.own_id_ = config_.host_.id_;
-        state.view_.subset_max_ = config_.directory_->subset_targets_;
-        state.placing_.probes_per_target_ = config_.directory_->probes_per_target_;
-        bound_second_sends(state);
-    }
-    state.probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
-    state.probe_bytes_share_ = 1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
-    apply_probe_share(state);
-    services_.push_back(std::move(owned));
-    return state;
-}
-
-void front::set_desired_state(routes::desired_state state)
-{
-    if (routes_ && state.version_ <= routes_->state_.version_) {
-        return;
-    }
-    for (const routes::routed_service& each : state.services_) {
-        service_state* known = service_named(each.name_);
-        if (known == nullptr) {
-            settings::service config = config_.directory_->service_;
-            config.name_ = each.name_;
-            config.connections_per_target_ = each.connections_per_target_;
-            known = &add_service(std::move(config));
-        }
-        known->config_.probe_path_ = each.probe_path_;
-    }
-    limits_ = state.limits_;
-    routes_ = std::make_shared<routes::table>(routes::make_table(std::move(state)));
-}
-
-// A service that is in no list yet has no targets, and refuses its requests.
-service_state& front::service_of(const routes::route& chosen)
-{
-    const std::size_t part = routes::next_part(splits_[chosen.name_], chosen.parts_, random_);
-    const std::string& name = chosen.parts_[part].service_;
-    service_state* known = service_named(name);
-    if (known == nullptr) {
-        settings::service config = config_.directory_->service_;
-        config.name_ = name;
-        known = &add_service(std::move(config));
-    }
-    return *known;
-}
-
 void front::set_lists(const plans::lists& lists)
 {
     admission::set_lists(admission_, lists, loop_.now());
@@ -204,44 +140,6 @@
     }
 }
 
-// Puts the targets of the settings and of the host list together, and retires the connections to
-// those that leave.
-void front::apply_targets(service_state& service)
-{
-    std::vector<routing::target_info> all = service.listed_;
-    for (const settings::static_target& target : service.config_.targets_) {
-        const bool listed = std::any_of(all.begin(), all.end(), [&](const auto& info) {
-            return info.address_ == target.address_;
-        });
-        if (!listed) {
-            routing::target_info added;
-            added.address_ = target.address_;
-            added.data_centre_ = target.data_centre_;
-            all.push_back(std::move(added));
-        }
-    }
-    routing::update_targets(service.view_, all, loop_.now());
-    service.target_count_ = static_cast<std::size_t>(
-        std::count_if(all.begin(), all.end(), [](const auto& info) { return !info.leaving_; }));
-    for (auto& [index, connections] : service.targets_) {
-        const settings::endpoint& address = routing::address_of(service.view_, index);
-        const auto info = std::find_if(all.begin(), all.end(), [&](const auto& candidate) {
-            return candidate.address_ == address;
-        });
-        if (info == all.end() || info->leaving_) {
-            connections.pool_->close_idle();
-        }
-        else {
-            std::string name =
-                fmt::format("{}:{}/{}", address.ip_, address.port_, info->incarnation_);
-            if (name != connections.name_) {
-                connections.pool_->close_idle(); // they lead to the server before
-            }
-            connections.name_ = std::move(name);
-        }
-    }
-}
-
 void front::set_share(const std::string& resource, double amount, time_point until, double later)
 {
     apply_share(resource, amount);
@@ -293,104 +191,6 @@
     loop_.after(load_interval, [this] { tell_admission_load(); });
 }
 
-// Starts the probes that are due.
-void front::probe_targets()
-{
-    if (!stopping_) {
-        for (auto& service : services_) {
-            while (const auto target = routing::next_probe(service->view_, loop_.now(), random_)) {
-                probe(*service, *target);
-            }
-        }
-    }
-    loop_.after(probe_interval, [this] { probe_targets(); });
-}
-
-void front::probe(service_state& service, routing::target_index target)
-{
-    metrics_.probes_.Increment();
-    auto owned = std::make_unique<probe_exchange>(loop_, service.config_.probe_path_);
-    probe_exchange* started = owned.get();
-    started->on_done([this, &service, target, started](auto load, std::size_t bytes) {
-        metrics_.probe_bytes_.Increment(static_cast<double>(bytes));
-        routing::probe_ended(service.view_, target, load, loop_.now());
-        if (load && load->draining_) {
-            target_is_draining(service, target);
-        }
-        const auto found = probes_.find(started);
-        loop_.retire(std::move(found->second));
-        probes_.erase(found);
-    });
-    probes_.emplace(started, std::move(owned));
-    if (!started->start(pool_of(service, target))) {
-        routing::probe_ended(service.view_, target, std::nullopt, loop_.now());
-        probes_.erase(started);
-    }
-}
-
-// All hosts together stay within the slack, in any window.
-void front::bound_second_sends(service_state& service)
-{
-    routing::retry_budget& budget = service.view_.retries_;
-    budget.most_ = routing::second_sends_max(service.placing_, config_.directory_->retry_slack_,
-                                             service.target_count_);
-    budget.hedge_reserve_ = budget.most_ / 3;
-    budget.extra_ = std::min(budget.extra_, budget.most_);
-}
-
-void front::probe_now(service_state& service, routing::target_index target,
-                      const probe_function& done)
-{
-    metrics_.probes_.Increment();
-    const settings::endpoint& address = routing::address_of(service.view_, target);
-    auto owned = std::make_unique<whole_exchange>(
-        loop_,
-        fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\n\r\n", service.config_.probe_path_,
-                    address.ip_, address.port_),
-        probe_answer_max);
-    whole_exchange* started = owned.get();
-    placing_probes_.emplace(started, std::move(owned));
-    const bool began =
-        started->start(pool_of(service, target), probe_timeout,
-                       [this, &service, target, started, done](const whole_answer& answer) {
-                           const auto found = placing_probes_.find(started);
-                           loop_.retire(std::move(found->second));
-                           placing_probes_.erase(found);
-                           probe_answered(service, target, answer, done);
-                       });
-    if (!began) {
-        placing_probes_.erase(started);
-        done(std::nullopt, false);
-    }
-}
-
-void front::probe_answered(service_state& service, routing::target_index target,
-                           const whole_answer& answer, const probe_function& done)
-{
-    const settings::header_names& names = config_.header_names_;
-    const routing::target_info& info = service.view_.targets_[target].info_;
-    const std::string_view instance =
-        names.instance_.empty() ? std::string_view{} : find_field(answer.head_, names.instance_);
-    const bool answered = answer.end_ == whole_answer::end::answered;
-    const bool other_server = !instance.empty() && !info.id_.empty() && instance != info.id_;
-    const bool usable = answered && answer.head_.status_ == status_ok && !other_server;
-    if (!usable) {
-        telemetry::decided("probe_failed", {},
-                           {{"service", service.config_.name_},
-                            {"target", target_name(service, target)},
-                            {"end", std::to_string(static_cast<int>(answer.end_))},
-                            {"status", std::to_string(answer.head_.status_)},
-                            {"instance", std::string{instance}}});
-        routing::probe_failed(service.view_, target, loop_.now());
-        done(std::nullopt, false);
-        return;
-    }
-    const auto load =
-        names.load_.empty() ? std::nullopt : read_compact_load(answer.head_, names.load_);
-    routing::probe_ended(service.view_, target, load, loop_.now());
-    done(load, true);
-}
-
 std::uint64_t front::submit(store::object_call call, proxied_call* asker)
 {
     const std::uint64_t ticket = ++last_ticket_;
@@ -445,35 +245,6 @@
     admission::release(admission_, customer, service.config_.name_);
 }
 
-target_connections& front::connections_of(service_state& service, routing::target_index target)
-{
-    target_connections& connections = service.targets_[target];
-    if (connections.pool_ == nullptr) {
-        const settings::endpoint& address = routing::address_of(service.view_, target);
-        connections.pool_ = std::make_unique<connection_pool>(loop_, address, service.config_.tls_,
-                                                              service.connection_cap_);
-        if (config_.header_names_.caller_sets_request_id_) {
-            connections.pool_->trust_answer_ids();
-        }
-        const auto info =
-            std::find_if(service.listed_.begin(), service.listed_.end(),
-                         [&](const auto& candidate) { return candidate.address_ == address; });
-        const std::uint64_t incarnation = info == service.listed_.end() ? 0 : info->incarnation_;
-        connections.name_ = fmt::format("{}:{}/{}", address.ip_, address.port_, incarnation);
-    }
-    return connections;
-}
-
-connection_pool& front::pool_of(service_state& service, routing::target_index target)
-{
-    return *connections_of(service, target).pool_;
-}
-
-const std::string& front::target_name(service_state& service, routing::target_index target)
-{
-    return connections_of(service, target).name_;
-}
-
 std::string front::next_request_id()
 {
     return fmt::format("{}{:x}", request_id_prefix_, ++last_request_);
--- /dev/null
+++ b/src/http/front_probes.cpp
@@ -0,0 +1,129 @@
+// The part of the HTTP task that probes targets: by itself, within a share, and for placements.
+
+#include "http/front.hpp"
+#include "http/load_fields.hpp"
+#include "http/probe_exchange.hpp"
+#include "http/whole_exchange.hpp"
+#include "telemetry/log.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace savoryscale::http {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration probe_interval = 25ms;
+
+// Without a word from a target by then, it counts as failing.
+constexpr duration probe_timeout = 250ms;
+constexpr std::size_t probe_answer_max = 4096;
+
+constexpr int status_ok = 200;
+
+} // namespace
+
+// Starts the probes that are due.
+void front::probe_targets()
+{
+    if (!stopping_) {
+        for (auto& service : services_) {
+            while (const auto target = routing::next_probe(service->view_, loop_.now(), random_)) {
+                probe(*service, *target);
+            }
+        }
+    }
+    loop_.after(probe_interval, [this] { probe_targets(); });
+}
+
+void front::probe(service_state& service, routing::target_index target)
+{
+    metrics_.probes_.Increment();
+    auto owned = std::make_unique<probe_exchange>(loop_, service.config_.probe_path_);
+    probe_exchange* started = owned.get();
+    started->on_done([this, &service, target, started](auto load, std::size_t bytes) {
+        metrics_.probe_bytes_.Increment(static_cast<double>(bytes));
+        routing::probe_ended(service.view_, target, load, loop_.now());
+        if (load && load->draining_) {
+            target_is_draining(service, target);
+        }
+        const auto found = probes_.find(started);
+        loop_.retire(std::move(found->second));
+        probes_.erase(found);
+    });
+    probes_.emplace(started, std::move(owned));
+    if (!started->start(pool_of(service, target))) {
+        routing::probe_ended(service.view_, target, std::nullopt, loop_.now());
+        probes_.erase(started);
+    }
+}
+
+// All hosts together stay within the slack, in any window.
+void front::bound_second_sends(service_state& service)
+{
+    routing::retry_budget& budget = service.view_.retries_;
+    budget.most_ = routing::second_sends_max(service.placing_, config_.directory_->retry_slack_,
+                                             service.target_count_);
+    budget.hedge_reserve_ = budget.most_ / 3;
+    budget.extra_ = std::min(budget.extra_, budget.most_);
+}
+
+void front::probe_now(service_state& service, routing::target_index target,
+                      const probe_function& done)
+{
+    metrics_.probes_.Increment();
+    const settings::endpoint& address = routing::address_of(service.view_, target);
+    auto owned = std::make_unique<whole_exchange>(
+        loop_,
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\n\r\n", service.config_.probe_path_,
+                    address.ip_, address.port_),
+        probe_answer_max);
+    whole_exchange* started = owned.get();
+    placing_probes_.emplace(started, std::move(owned));
+    const bool began =
+        started->start(pool_of(service, target), probe_timeout,
+                       [this, &service, target, started, done](const whole_answer& answer) {
+                           const auto found = placing_probes_.find(started);
+                           loop_.retire(std::move(found->second));
+                           placing_probes_.erase(found);
+                           probe_answered(service, target, answer, done);
+                       });
+    if (!began) {
+        placing_probes_.erase(started);
+        done(std::nullopt, false);
+    }
+}
+
+void front::probe_answered(service_state& service, routing::target_index target,
+                           const whole_answer& answer, const probe_function& done)
+{
+    const settings::header_names& names = config_.header_names_;
+    const routing::target_info& info = service.view_.targets_[target].info_;
+    const std::string_view instance =
+        names.instance_.empty() ? std::string_view{} : find_field(answer.head_, names.instance_);
+    const bool answered = answer.end_ == whole_answer::end::answered;
+    const bool other_server = !instance.empty() && !info.id_.empty() && instance != info.id_;
+    const bool usable = answered && answer.head_.status_ == status_ok && !other_server;
+    if (!usable) {
+        telemetry::decided("probe_failed", {},
+                           {{"service", service.config_.name_},
+                            {"target", target_name(service, target)},
+                            {"end", std::to_string(static_cast<int>(answer.end_))},
+                            {"status", std::to_string(answer.head_.status_)},
+                            {"instance", std::string{instance}}});
+        routing::probe_failed(service.view_, target, loop_.now());
+        done(std::nullopt, false);
+        return;
+    }
+    const auto load =
+        names.load_.empty() ? std::nullopt : read_compact_load(answer.head_, names.load_);
+    routing::probe_ended(service.view_, target, load, loop_.now());
+    done(load, true);
+}
+
+} // namespace savoryscale::http
--- /dev/null
+++ b/src/http/front_services.cpp
@@ -0,0 +1,137 @@
+// The part of the HTTP task that keeps services, their targets and the connections to these.
+
+#include "http/front.hpp"
+#include "routing/policy.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryscale::http {
+
+service_state& front::add_service(settings::service config)
+{
+    auto owned = std::make_unique<service_state>();
+    service_state& state = *owned;
+    state.config_ = std::move(config);
+    const settings::service& service = state.config_;
+    state.view_ = routing::make_view(
+        service, config_.host_.data_centre_,
+        routing::policy_named(service.policy_).value_or(routing::policy::least_wait));
+    state.connection_cap_ =
+        std::max(1U, service.connections_per_target_ / config_.host_.hosts_max_);
+    if (config_.directory_) {
+        state.view_.own_id_ = config_.host_.id_;
+        state.view_.subset_max_ = config_.directory_->subset_targets_;
+        state.placing_.probes_per_target_ = config_.directory_->probes_per_target_;
+        bound_second_sends(state);
+    }
+    state.probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
+    state.probe_bytes_share_ = 1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
+    apply_probe_share(state);
+    services_.push_back(std::move(owned));
+    return state;
+}
+
+void front::set_desired_state(routes::desired_state state)
+{
+    if (routes_ && state.version_ <= routes_->state_.version_) {
+        return;
+    }
+    for (const routes::routed_service& each : state.services_) {
+        service_state* known = service_named(each.name_);
+        if (known == nullptr) {
+            settings::service config = config_.directory_->service_;
+            config.name_ = each.name_;
+            config.connections_per_target_ = each.connections_per_target_;
+            known = &add_service(std::move(config));
+        }
+        known->config_.probe_path_ = each.probe_path_;
+    }
+    limits_ = state.limits_;
+    routes_ = std::make_shared<routes::table>(routes::make_table(std::move(state)));
+}
+
+// A service that is in no list yet has no targets, and refuses its requests.
+service_state& front::service_of(const routes::route& chosen)
+{
+    const std::size_t part = routes::next_part(splits_[chosen.name_], chosen.parts_, random_);
+    const std::string& name = chosen.parts_[part].service_;
+    service_state* known = service_named(name);
+    if (known == nullptr) {
+        settings::service config = config_.directory_->service_;
+        config.name_ = name;
+        known = &add_service(std::move(config));
+    }
+    return *known;
+}
+
+// Puts the targets of the settings and of the host list together, and retires the connections to
+// those that leave.
+void front::apply_targets(service_state& service)
+{
+    std::vector<routing::target_info> all = service.listed_;
+    for (const settings::static_target& target : service.config_.targets_) {
+        const bool listed = std::any_of(all.begin(), all.end(), [&](const auto& info) {
+            return info.address_ == target.address_;
+        });
+        if (!listed) {
+            routing::target_info added;
+            added.address_ = target.address_;
+            added.data_centre_ = target.data_centre_;
+            all.push_back(std::move(added));
+        }
+    }
+    routing::update_targets(service.view_, all, loop_.now());
+    service.target_count_ = static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [](const auto& info) { return !info.leaving_; }));
+    for (auto& [index, connections] : service.targets_) {
+        const settings::endpoint& address = routing::address_of(service.view_, index);
+        const auto info = std::find_if(all.begin(), all.end(), [&](const auto& candidate) {
+            return candidate.address_ == address;
+        });
+        if (info == all.end() || info->leaving_) {
+            connections.pool_->close_idle();
+        }
+        else {
+            std::string name =
+                fmt::format("{}:{}/{}", address.ip_, address.port_, info->incarnation_);
+            if (name != connections.name_) {
+                connections.pool_->close_idle(); // they lead to the server before
+            }
+            connections.name_ = std::move(name);
+        }
+    }
+}
+
+target_connections& front::connections_of(service_state& service, routing::target_index target)
+{
+    target_connections& connections = service.targets_[target];
+    if (connections.pool_ == nullptr) {
+        const settings::endpoint& address = routing::address_of(service.view_, target);
+        connections.pool_ = std::make_unique<connection_pool>(loop_, address, service.config_.tls_,
+                                                              service.connection_cap_);
+        if (config_.header_names_.caller_sets_request_id_) {
+            connections.pool_->trust_answer_ids();
+        }
+        const auto info =
+            std::find_if(service.listed_.begin(), service.listed_.end(),
+                         [&](const auto& candidate) { return candidate.address_ == address; });
+        const std::uint64_t incarnation = info == service.listed_.end() ? 0 : info->incarnation_;
+        connections.name_ = fmt::format("{}:{}/{}", address.ip_, address.port_, incarnation);
+    }
+    return connections;
+}
+
+connection_pool& front::pool_of(service_state& service, routing::target_index target)
+{
+    return *connections_of(service, target).pool_;
+}
+
+const std::string& front::target_name(service_state& service, routing::target_index target)
+{
+    return connections_of(service, target).name_;
+}
+
+} // namespace savoryscale::http
