Read and show the limits that targets name

The logs could not tell whether a host knows a target's limit: nothing read the field. Values that are not a decimal number from 0 to 1e6 are ignored and logged at most once in 10 s.

No placement depends on it yet.

--- a/src/http/attempt_exchange.cpp
+++ b/src/http/attempt_exchange.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr int status_other_server = 421; // the address belongs to another server now
+
 // Whether the settings declare such an answer as proof that the request was not run.
 bool proves_not_run(const answer_head& head, const settings::service& service)
 {
@@ -69,6 +71,10 @@
     latency_ = answered_ - sent_;
     load_ = names.load_.empty() ? read_load(head) : read_compact_load(head, names.load_);
     status_ = head.status_;
+    if (status_ != status_other_server) {
+        call.http_task_.on_limit_field(*call.service_, target_, head,
+                                       routing::limit_source::request);
+    }
     if (load_ && load_->draining_) {
         call.http_task_.on_target_draining(*call.service_, target_);
     }
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -382,6 +382,7 @@
     if (events_.on_tick_) {
         events_.on_tick_();
     }
+    publish_limits();
     for (auto& service : services_) {
         for (auto& [index, connections] : service->targets_) {
             connections.pool_->close_aged(now);
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -23,6 +23,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,6 +43,7 @@
 class proxied_call;
 class buffered_exchange;
 struct buffered_answer;
+struct answer_head;
 
 // Events that the HTTP task reports to other tasks. Called on its thread; each handler posts to a
 // mailbox.
@@ -57,6 +59,12 @@
     telemetry::span_queue* spans_ = nullptr; // null: spans are dropped
 };
 
+// The metrics of one target's limit.
+struct limit_gauges {
+    prometheus::Gauge* per_second_ = nullptr;
+    prometheus::Gauge* age_ = nullptr;
+};
+
 class http_task {
 public:
     http_task(event_loop& loop, const settings::settings& config, const telemetry::metrics& metrics,
@@ -130,6 +138,12 @@
     std::string next_request_id();
     duration retry_after(std::optional<duration> expected);
     void on_target_draining(service_state& service, routing::target_index target);
+    // Call for each answer that comes from the target itself.
+    void on_limit_field(service_state& service, routing::target_index target,
+                        const answer_head& head, routing::limit_source source);
+    // The limit that the target named last; null: none. Valid until the next answer.
+    static const routing::target_limit* limit_of(const service_state& service,
+                                                 routing::target_index target);
     void on_connection_refused(service_state& service, routing::target_index target);
     void on_connection_broken(service_state& service, routing::target_index target,
                               admission::fingerprint request);
@@ -165,6 +179,7 @@
     void apply_share(std::string_view resource, double amount);
     void apply_probe_share(service_state& service);
     void publish(const pool_counters& counted);
+    void publish_limits();
     void end_idle_callers();
     void check_stopped();
 
@@ -190,6 +205,8 @@
     std::unordered_map<probe_exchange*, std::unique_ptr<probe_exchange>> probes_;
     std::unordered_map<buffered_exchange*, std::unique_ptr<buffered_exchange>> search_probes_;
     time_point heard_at_{};
+    time_point invalid_limit_logged_at_{};
+    std::map<std::string, limit_gauges> limit_gauges_; // by address of the target
     bool stopping_ = false;
     bool stop_lag_over_ = false;
 };
--- a/src/http/load_fields.cpp
+++ b/src/http/load_fields.cpp
@@ -60,6 +60,22 @@
     return load;
 }
 
+limit_field read_limit(const answer_head& head, std::string_view field_name)
+{
+    if (field_name.empty() || !has_field(head, field_name)) {
+        return {};
+    }
+    const std::string_view text = find_field(head, field_name);
+    double value = 0;
+    const auto parsed =
+        std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    const bool whole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    if (!whole || !(value >= 0 && value <= limit_max)) {
+        return {limit_reading::invalid, 0};
+    }
+    return {limit_reading::valid, value};
+}
+
 std::optional<routing::load_report> parse_load(std::string_view text)
 {
     const auto parsed = nlohmann::json::parse(text, nullptr, false);
--- a/src/http/load_fields.hpp
+++ b/src/http/load_fields.hpp
@@ -6,6 +6,7 @@
 #include "http/head.hpp"
 #include "routing/target.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -20,6 +21,16 @@
 std::optional<routing::load_report> read_compact_load(const answer_head& head,
                                                       std::string_view field_name);
 
+// The requests per second that a target takes from all hosts together. A value that is not a
+// decimal number from 0 to limit_max is invalid.
+enum class limit_reading : std::uint8_t { absent, valid, invalid };
+struct limit_field {
+    limit_reading reading_ = limit_reading::absent;
+    double per_second_ = 0;
+};
+inline constexpr double limit_max = 1e6;
+limit_field read_limit(const answer_head& head, std::string_view field_name);
+
 // Reads a probe's JSON answer: {"in_flight": 2, "utilization": 0.5, "draining": false}, each member
 // optional. None when the text is not a JSON object.
 std::optional<routing::load_report> parse_load(std::string_view text);
--- a/src/http/log_fields.cpp
+++ b/src/http/log_fields.cpp
@@ -17,4 +17,9 @@
                        load.slowdown_);
 }
 
+std::string log_limit(const routing::target_limit& limit)
+{
+    return fmt::format("{:g}", limit.per_second_);
+}
+
 } // namespace savoryscale::http
--- a/src/http/log_fields.hpp
+++ b/src/http/log_fields.hpp
@@ -4,6 +4,7 @@
 
 #include "base/clock.hpp"
 #include "routing/target.hpp"
+#include "routing/target_limit.hpp"
 
 #include <string>
 #include <string_view>
@@ -16,4 +17,7 @@
 // One target's load as "NAME=IN_FLIGHT/SLOTS*SLOWDOWN ".
 std::string log_load(std::string_view target, const routing::load_report& load);
 
+// Requests per second, in as many digits as needed.
+std::string log_limit(const routing::target_limit& limit);
+
 } // namespace savoryscale::http
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -120,6 +120,8 @@
             loads += log_load(http_task_.target_name(*service_, one.target_), *one.load_);
         }
     }
+    const routing::target_limit* limit =
+        found.placed_ ? http_task_.limit_of(*service_, found.placed_->target_) : nullptr;
     telemetry::decided(
         "attempt_placed", request_id_,
         {{"attempt", std::to_string(attempt.id_)},
@@ -131,7 +133,10 @@
          {"why", routing::to_string(found.end_)},
          {"probes", std::to_string(found.probes_)},
          {"answers", std::to_string(found.answers_)},
-         {"probed", loads}});
+         {"probed", loads},
+         {"limit", limit != nullptr ? log_limit(*limit) : ""},
+         {"limit_age_ms",
+          limit != nullptr ? log_ms(http_task_.loop().now() - limit->heard_at_) : ""}});
     if (!in_time) {
         retry_after_ = found.retry_after_;
         connect_attempt(attempt, nullptr);
--- a/src/routing/target_state.hpp
+++ b/src/routing/target_state.hpp
@@ -4,6 +4,7 @@
 
 #include "base/clock.hpp"
 #include "routing/target.hpp"
+#include "routing/target_limit.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -25,6 +26,7 @@
     std::uint32_t in_flight_ = 0;     // this host's attempts in flight
     std::vector<time_point> started_; // start times of these attempts, oldest first
     std::optional<received_load> load_;
+    std::optional<target_limit> limit_; // named by the target; none: it takes what it has room for
     std::optional<time_point> drain_reported_at_; // last report that the target drains
     std::optional<time_point> cold_since_;        // start of its cold start; none: warm
     time_point warm_at_{};                        // end of its reported warm-up
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -262,6 +262,7 @@
     name("expect_instance", out.expect_instance_);
     name("instance", out.instance_);
     name("load", out.load_);
+    name("limit", out.limit_);
     in.optional("caller_sets_request_id", out.caller_sets_request_id_);
     in.reject_unknown();
 }
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -41,13 +41,15 @@
     return counters(registry, name, help).Add({});
 }
 
+prometheus::Family<prometheus::Gauge>& gauges(Registry& registry, const std::string& name,
+                                              const std::string& help)
+{
+    return prometheus::BuildGauge().Name("savoryscale_" + name).Help(help).Register(registry);
+}
+
 prometheus::Gauge& gauge(Registry& registry, const std::string& name, const std::string& help)
 {
-    return prometheus::BuildGauge()
-        .Name("savoryscale_" + name)
-        .Help(help)
-        .Register(registry)
-        .Add({});
+    return gauges(registry, name, help).Add({});
 }
 
 prometheus::Histogram& duration_histogram(Registry& registry, const std::string& name,
@@ -116,6 +118,8 @@
             connection_events),
         counter(registry, "probes_total", "Load probes sent to targets."),
         counter(registry, "probe_bytes_total", "Bytes of load probes and their answers."),
+        gauges(registry, "target_limit", "Requests per second that a target takes in all."),
+        gauges(registry, "target_limit_age_seconds", "Time since a target last named its limit."),
         register_counter_set<decltype(metrics::refusals_)>(registry, "admission_refusals_total",
                                                            "Requests that admission refused.",
                                                            "reason", refusals),
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -8,6 +8,7 @@
 #include "store/object_api.hpp"
 
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -66,6 +67,8 @@
     counter_set<connection_event, connection_event::failed> target_connections_;
     prometheus::Counter& probes_;
     prometheus::Counter& probe_bytes_;
+    prometheus::Family<prometheus::Gauge>& target_limits_;     // requests per second
+    prometheus::Family<prometheus::Gauge>& target_limit_ages_; // seconds
 
     counter_set<admission::refusal, admission::refusal::overload>
         refusals_; // refusal::none is never counted
