Keep the sum of all hosts within the limit that a target names

Cause: nothing acted on the limit. Ruled out: limits known too late (at most 9.9 ms old when a request was placed).

Change: a request to such a target needs a grant from one of up to three hosts of the feed (routing/limit_granter, grant_book; http/limit_grants, grant_search; peer/grant_wire). Each grants an equal part of every limit at all times, so the bound holds whatever hosts know of each other. Searches prefer targets without a limit, exclude those that cannot be granted, and end as "limited" with a spread Retry-After. More urgent requests get three of four grants while both kinds are denied.

--- a/fuzz/feed_fuzz.cpp
+++ b/fuzz/feed_fuzz.cpp
@@ -1,8 +1,10 @@
-// Fuzzes the parser of a peer's directory feed: any input gives a page within the bounds or an
-// error with a remedy, and a parsed page is the same after writing and reading it again.
+// Fuzzes the parsers of what peers send about the directory and about grants: any input gives a
+// page within the bounds or an error with a remedy, and a parsed page is the same after writing and
+// reading it again.
 
 #include "directory/feed_server.hpp"
 #include "peer/feed_wire.hpp"
+#include "peer/grant_wire.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -29,6 +31,13 @@
         const auto again = directory::read_feed_path(directory::feed_path(*position));
         require(again && again->sequence_ == position->sequence_);
     }
+    if (const auto wished = peer::read_grant_path(bytes)) {
+        const auto again = peer::read_grant_path(peer::write_grant_path(*wished));
+        require(again && again->wishes_.size() == wished->wishes_.size());
+    }
+    if (const auto answer = peer::read_grant_answer(bytes)) {
+        require(peer::read_grant_answer(peer::write_grant_answer(*answer)) == *answer);
+    }
     const auto page = peer::read_feed_page(bytes);
     if (!page) {
         require(!page.error().remedy_.empty());
--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -172,6 +172,7 @@
     if (feeds && config_.directory_->feed_ && read->directory_->feed_->hosts_ != peers_) {
         peers_ = read->directory_->feed_->hosts_;
         directory_->set_peers(peers_);
+        http_task_->grants().set_granters(peers_, config_.directory_->feed_->address_);
     }
 }
 
@@ -214,6 +215,9 @@
     events.on_store_call_ = [this](store::operation made, store::call_status seen) {
         metrics_.store_call(made, seen).Increment();
     };
+    events.on_grant_request_ = [this](std::string_view path) {
+        return http_task_->grants().answer(path);
+    };
     events.on_peers_lost_ = [this] { reread_settings(); };
     return events;
 }
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -105,7 +105,8 @@
                    source_.last_peer_request_ = loop_.now();
                    check_sources();
                },
-               [this] { return is_complete() ? as_of(source_) : std::nullopt; }}}
+               [this] { return is_complete() ? as_of(source_) : std::nullopt; },
+               events_.on_grant_request_}}
 {
     pool_.enable_tcp_keepalive();
     feed_.epoch_ = random_() | 1U; // 0 is the position of a reader that has no data
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -12,6 +12,7 @@
 #include "directory/registry.hpp"
 #include "directory/source.hpp"
 #include "http/connection_pool.hpp"
+#include "http/page_server.hpp"
 #include "routes/route.hpp"
 #include "settings/settings.hpp"
 
@@ -34,6 +35,7 @@
     std::function<void(const std::string& service, std::vector<routing::target_info>)> on_targets_;
     std::function<void(store::operation, store::call_status)> on_store_call_;
     std::function<void()> on_peers_lost_; // newer settings may list other peers; see set_peers
+    std::function<http::page(std::string_view path)> on_grant_request_; // of another host
 };
 
 class directory_task {
--- a/src/directory/feed_server.cpp
+++ b/src/directory/feed_server.cpp
@@ -3,6 +3,7 @@
 #include "directory/feed.hpp"
 #include "http/event_loop.hpp"
 #include "peer/feed_wire.hpp"
+#include "peer/grant_wire.hpp"
 
 #include <fmt/format.h>
 
@@ -75,6 +76,10 @@
 
 void feed_server::on_request(std::string_view path, const http::page_reply& reply)
 {
+    if (events_.on_grant_request_ && path.starts_with(peer::grant_path_prefix)) {
+        reply(events_.on_grant_request_(path));
+        return;
+    }
     const auto position = read_feed_path(path);
     if (!position) {
         reply({status_bad_request, "text/plain", "ask for /directory?EPOCH.SEQUENCE.VERSION\n"});
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -59,13 +59,21 @@
       metrics_{metrics},
       admission_{admission::make_state(1.0 / config.host_.hosts_max_)},
       inbox_{[&loop] { loop.wake(); }},
-      request_id_prefix_{fmt::format("{}-{:x}-", config.host_.id_, random_())}
+      request_id_prefix_{fmt::format("{}-{:x}-", config.host_.id_, random_())},
+      grants_{loop, random_}
 {
     body_memory_.max_ = std::size_t{config_.listen_.body_memory_mb_} << 20U;
     limits_.max_header_bytes_ = config_.listen_.max_header_bytes_;
     limits_.idle_timeout_ = config_.listen_.idle_timeout_;
     limits_.header_timeout_ = config_.listen_.header_timeout_;
     if (config_.directory_) {
+        const auto& feed = config_.directory_->feed_;
+        if (feed && !feed->hosts_.empty()) {
+            grants_.set_granters(feed->hosts_, feed->address_);
+        }
+        else {
+            grants_.set_alone(config_.host_.hosts_max_);
+        }
         return;
     }
     for (const settings::service& service : config_.services_) {
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -11,6 +11,7 @@
 #include "base/random.hpp"
 #include "dispatch/call.hpp"
 #include "http/event_loop.hpp"
+#include "http/limit_grants.hpp"
 #include "http/service_state.hpp"
 #include "peer/fact.hpp"
 #include "plans/lists.hpp"
@@ -63,6 +64,7 @@
 struct limit_gauges {
     prometheus::Gauge* per_second_ = nullptr;
     prometheus::Gauge* age_ = nullptr;
+    prometheus::Gauge* granted_ = nullptr;
 };
 
 class http_task {
@@ -141,6 +143,7 @@
     // Call for each answer that comes from the target itself.
     void on_limit_field(service_state& service, routing::target_index target,
                         const answer_head& head, routing::limit_source source);
+    [[nodiscard]] limit_grants& grants() { return grants_; }
     // The limit that the target named last; null: none. Valid until the next answer.
     static const routing::target_limit* limit_of(const service_state& service,
                                                  routing::target_index target);
@@ -207,6 +210,7 @@
     time_point heard_at_{};
     time_point invalid_limit_logged_at_{};
     std::map<std::string, limit_gauges> limit_gauges_; // by address of the target
+    limit_grants grants_;
     bool stopping_ = false;
     bool stop_lag_over_ = false;
 };
--- a/src/http/http_task_limits.cpp
+++ b/src/http/http_task_limits.cpp
@@ -64,7 +64,7 @@
     const time_point now = loop_.now();
     std::map<std::string, limit_gauges> before = std::exchange(limit_gauges_, {});
     for (const auto& service : services_) {
-        const auto& targets = service->view_.targets_;
+        auto& targets = service->view_.targets_;
         for (routing::target_index index = 0; index < targets.size(); ++index) {
             if (!targets[index].limit_ || !targets[index].listed_) {
                 continue;
@@ -74,16 +74,19 @@
             limit_gauges gauges =
                 known ? known.mapped()
                       : limit_gauges{&metrics_.target_limits_.Add({{"target", target}}),
-                                     &metrics_.target_limit_ages_.Add({{"target", target}})};
+                                     &metrics_.target_limit_ages_.Add({{"target", target}}),
+                                     &metrics_.target_limit_granted_.Add({{"target", target}})};
             gauges.per_second_->Set(targets[index].limit_->per_second_);
             gauges.age_->Set(
                 std::chrono::duration<double>(now - targets[index].limit_->heard_at_).count());
+            gauges.granted_->Set(std::exchange(targets[index].granted_, 0));
             limit_gauges_.emplace(target, gauges);
         }
     }
     for (const auto& [target, gauges] : before) {
         metrics_.target_limits_.Remove(gauges.per_second_);
         metrics_.target_limit_ages_.Remove(gauges.age_);
+        metrics_.target_limit_granted_.Remove(gauges.granted_);
     }
 }
 
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -320,12 +320,19 @@
     const bool not_run = decided.outcome_ == dispatch::outcome::not_run;
     const auto retry_after =
         not_run ? std::optional<duration>{http_task_.retry_after(retry_after_)} : std::nullopt;
-    log_refusal(decided.status_, dispatch::to_string(decided.outcome_), retry_after);
+    const bool limited = not_run && limited_;
+    log_refusal(decided.status_, limited ? "limited" : dispatch::to_string(decided.outcome_),
+                retry_after);
+    if (limited) {
+        http_task_.metrics().limited_requests_.Increment();
+    }
     finish();
     count_end(not_run ? telemetry::request_end::not_run : telemetry::request_end::unknown);
     caller_.answer_locally({decided.status_, dispatch::to_string(decided.outcome_),
-                            not_run ? "the request was not run; it is safe to send it again"
-                                    : "the request may have run; find out before repeating it",
+                            limited ? "the request was not run: all targets have reached the limit "
+                                      "that they name; send it again later"
+                            : not_run ? "the request was not run; it is safe to send it again"
+                                      : "the request may have run; find out before repeating it",
                             retry_after, false});
 }
 
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -149,6 +149,7 @@
     bool request_ended_ = false;
     bool finished_ = false;
     bool deadline_reached_ = false;
+    bool limited_ = false; // the last search ended at the limits of targets
 };
 
 } // namespace savoryscale::http
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -93,7 +93,8 @@
         caller_.pause_reading();
     }
     const auto search = std::make_shared<target_search>(
-        http_task_, *service_, tried_targets(attempt.id_), objective_time(), time_left(),
+        http_task_, *service_, tried_targets(attempt.id_), !attempt.is_hedge_, route_->priority_,
+        objective_time(), time_left(),
         [this, &attempt](const search_result& found) { on_search_done(attempt, found); });
     attempt.search_ = search;
     search->start();
@@ -136,7 +137,12 @@
          {"probed", loads},
          {"limit", limit != nullptr ? log_limit(*limit) : ""},
          {"limit_age_ms",
-          limit != nullptr ? log_ms(http_task_.loop().now() - limit->heard_at_) : ""}});
+          limit != nullptr ? log_ms(http_task_.loop().now() - limit->heard_at_) : ""},
+         {"limit_granted",
+          limit != nullptr
+              ? std::to_string(service_->view_.targets_[found.placed_->target_].granted_)
+              : ""}});
+    limited_ = found.end_ == routing::search_end::limited;
     if (!in_time) {
         retry_after_ = found.retry_after_;
         connect_attempt(attempt, nullptr);
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -1,8 +1,12 @@
 #include "http/target_search.hpp"
 
+#include "http/grant_search.hpp"
 #include "http/http_task.hpp"
+#include "http/limit_grants.hpp"
 #include "http/service_state.hpp"
+#include "peer/grant_wire.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -12,15 +16,23 @@
 
 constexpr routing::placement_options options;
 
+routing::grant_wish wish_for(const routing::target_state& target, time_point now)
+{
+    return {to_string(target.info_.address_), target.limit_->per_second_,
+            now - target.limit_->heard_at_};
+}
+
 } // namespace
 
 target_search::target_search(http_task& owner, service_state& service,
-                             std::vector<routing::target_index> exclude,
-                             std::optional<time_point> objective_time, duration time_left,
-                             done_function done)
+                             std::vector<routing::target_index> exclude, bool limited_allowed,
+                             std::uint32_t priority, std::optional<time_point> objective_time,
+                             duration time_left, done_function done)
     : http_task_{owner},
       service_{service},
       exclude_{std::move(exclude)},
+      limited_allowed_{limited_allowed},
+      priority_{priority},
       objective_time_{objective_time},
       done_{std::move(done)},
       started_{owner.loop().now()},
@@ -39,6 +51,7 @@
     const std::chrono::duration<double, std::nano> mean{service_.view_.mean_latency_ns_};
     routing::on_search_started(service_.placement_budget_,
                                std::chrono::duration<double>{mean}.count());
+    deny_limited(limited_allowed_);
     begin_round();
 }
 
@@ -83,15 +96,51 @@
     if (!done_) {
         return;
     }
-    if (usable) {
+    if (usable && !is_denied(answered.target_)) {
         probed_.push_back(answered);
     }
     routing::on_probe_ended(progress_, round == progress_.rounds_, usable);
     proceed();
 }
 
+bool target_search::is_denied(routing::target_index target) const
+{
+    return std::find(denied_targets_.begin(), denied_targets_.end(), target) !=
+           denied_targets_.end();
+}
+
+void target_search::deny(routing::target_index target)
+{
+    if (is_denied(target)) {
+        return;
+    }
+    exclude_.push_back(target);
+    denied_targets_.push_back(target);
+    const routing::target_state& state = service_.view_.targets_[target];
+    if (limited_allowed_ && state.limit_ && denied_.size() < peer::grant_wishes_max) {
+        denied_.push_back(wish_for(state, http_task_.loop().now()));
+    }
+}
+
+// Denies the targets that name a limit, unless a granter may have a grant for them.
+void target_search::deny_limited(bool may_be_granted)
+{
+    const auto& targets = service_.view_.targets_;
+    for (routing::target_index index = 0; index < targets.size(); ++index) {
+        const routing::target_state& target = targets[index];
+        if (target.listed_ && target.limit_ &&
+            !(may_be_granted &&
+              http_task_.grants().may_be_granted(to_string(target.info_.address_)))) {
+            deny(index);
+        }
+    }
+}
+
 void target_search::proceed()
 {
+    if (grant_search_ != nullptr) {
+        return;
+    }
     const time_point now = http_task_.loop().now();
     const auto objective_left =
         objective_time_ ? std::optional{*objective_time_ - now} : std::nullopt;
@@ -107,9 +156,49 @@
         begin_round();
         return;
     case routing::search_step::end:
-        finish(placed);
+        if (placed && service_.view_.targets_[placed->target_].limit_) {
+            ask_for_grant();
+        }
+        else {
+            finish(placed);
+        }
+        return;
+    }
+}
+
+void target_search::ask_for_grant()
+{
+    const time_point now = http_task_.loop().now();
+    grantable_ =
+        routing::place_limited(service_.view_, probed_, options, peer::grant_wishes_max, now);
+    routing::grant_request request{priority_, {}};
+    for (const routing::placed_attempt& each : grantable_) {
+        request.wishes_.push_back(wish_for(service_.view_.targets_[each.target_], now));
+    }
+    grant_search_ = std::make_unique<grant_search>(
+        http_task_.grants(), std::move(request),
+        [this](std::optional<std::size_t> granted) { on_grant_decided(granted); });
+    grant_search_->start();
+}
+
+// Without a grant the search goes on among the targets that name no limit or may still be granted.
+void target_search::on_grant_decided(std::optional<std::size_t> granted)
+{
+    const std::shared_ptr<target_search> kept_alive = shared_from_this();
+    http_task_.loop().destroy_later(std::move(grant_search_)); // its function is on the stack
+    if (granted) {
+        const routing::placed_attempt chosen = grantable_[*granted];
+        ++service_.view_.targets_[chosen.target_].granted_;
+        finish(chosen);
         return;
     }
+    for (const routing::placed_attempt& each : grantable_) {
+        deny(each.target_);
+    }
+    deny_limited(true);
+    std::erase_if(probed_,
+                  [&](const routing::probed_target& one) { return is_denied(one.target_); });
+    proceed();
 }
 
 // Waits for probes on their way: until the end of the round, then until the patience is over.
@@ -139,10 +228,34 @@
     if (progress_.answered_ > 0 || (progress_.sent_ > 0 && !is_link_alive)) {
         return std::nullopt;
     }
+    deny_limited(false);
     return routing::place_unprobed(service_.view_, exclude_, http_task_.loop().now(),
                                    http_task_.random());
 }
 
+routing::search_end target_search::reason_without_target() const
+{
+    const bool silent = progress_.answered_ == 0 && progress_.sent_ > 0;
+    return !denied_.empty() && !silent
+               ? routing::search_end::limited
+               : routing::end_without_target(progress_,
+                                             routing::has_eligible_target(service_.view_));
+}
+
+// The earliest time at which a slot or a grant is expected.
+duration target_search::retry_after(bool silent)
+{
+    if (silent) {
+        return 2 * routing::round_time(service_.probe_times_);
+    }
+    const duration slot = routing::time_to_free_slot(service_.view_, probed_);
+    if (denied_.empty()) {
+        return slot;
+    }
+    const duration grant = http_task_.grants().retry_after(denied_);
+    return probed_.empty() ? grant : std::min(slot, grant);
+}
+
 void target_search::finish(std::optional<routing::placed_attempt> placed)
 {
     if (!done_) {
@@ -156,8 +269,7 @@
         result.end_ = routing::search_end::believed;
     }
     else {
-        result.end_ =
-            routing::end_without_target(progress_, routing::has_eligible_target(service_.view_));
+        result.end_ = reason_without_target();
     }
     const bool silent = progress_.answered_ == 0 && progress_.sent_ > 0;
     if (silent) {
@@ -167,8 +279,7 @@
     routing::on_search_ended(service_.placement_budget_, probed_,
                              routing::own_in_flight(service_.view_), result.placed_.has_value());
     http_task_.limit_extra_attempts(service_);
-    result.retry_after_ = silent ? 2 * routing::round_time(service_.probe_times_)
-                                 : routing::time_to_free_slot(service_.view_, probed_);
+    result.retry_after_ = retry_after(silent);
     result.probes_ = progress_.sent_;
     result.answers_ = progress_.answered_;
     result.probed_ = probed_;
--- a/src/http/target_search.hpp
+++ b/src/http/target_search.hpp
@@ -4,15 +4,18 @@
 // routing/placement.hpp and routing/search_progress.hpp.
 
 #include "http/timer_queue.hpp"
+#include "routing/limit_granter.hpp"
 #include "routing/placement.hpp"
 #include "routing/search_progress.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
 
 namespace savoryscale::http {
 
+class grant_search;
 class http_task;
 struct service_state;
 
@@ -30,12 +33,14 @@
 public:
     using done_function = std::function<void(const search_result&)>;
 
+    // `limited_allowed`: targets that name a limit may be chosen; `priority`: of the route.
     // `objective_time`: when the answer is due by the route's latency objective; none: the route
     // has no objective. `time_left`: until the request's deadline. `done` is not called once the
     // last owner has dropped the search.
     target_search(http_task& owner, service_state& service,
-                  std::vector<routing::target_index> exclude,
-                  std::optional<time_point> objective_time, duration time_left, done_function done);
+                  std::vector<routing::target_index> exclude, bool limited_allowed,
+                  std::uint32_t priority, std::optional<time_point> objective_time,
+                  duration time_left, done_function done);
     ~target_search();
     target_search(const target_search&) = delete;
     target_search& operator=(const target_search&) = delete;
@@ -52,17 +57,30 @@
     void wait();
     std::optional<routing::placed_attempt> place() const;
     std::optional<routing::placed_attempt> place_without_answer();
+    bool is_denied(routing::target_index target) const;
+    void deny(routing::target_index target);
+    void deny_limited(bool may_be_granted);
+    void ask_for_grant();
+    void on_grant_decided(std::optional<std::size_t> granted);
     void finish(std::optional<routing::placed_attempt> placed);
+    routing::search_end reason_without_target() const;
+    duration retry_after(bool silent);
 
     http_task& http_task_;
     service_state& service_;
     std::vector<routing::target_index> exclude_; // including the targets already probed
+    bool limited_allowed_;
+    std::uint32_t priority_;
     std::optional<time_point> objective_time_;
     done_function done_;
     std::vector<routing::probed_target> probed_;
     routing::search_progress progress_;
     time_point started_{};
     time_point patience_ends_{};
+    std::unique_ptr<grant_search> grant_search_;     // while a grant is asked for
+    std::vector<routing::placed_attempt> grantable_; // the targets it may be for
+    std::vector<routing::target_index> denied_targets_;
+    std::vector<routing::grant_wish> denied_; // for Retry-After
     timer_id round_timer_ = 0;
     timer_id patience_timer_ = 0;
 };
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <utility>
 
 namespace savoryscale::routing {
 
@@ -14,8 +16,10 @@
 // The unit of cost is the usual processing time of one request.
 // Cost of taking the last slot: a nearly full target slows down for all its requests.
 constexpr double last_slot_cost = 2.2;
-constexpr double cold_factor = 2.3;        // for a target that has just started and is little known
-constexpr double remote_cost = 0.05;       // of a target in another data centre
+constexpr double cold_factor = 2.3;  // for a target that has just started and is little known
+constexpr double remote_cost = 0.05; // of a target in another data centre
+// Cost of a target that names a limit: one without is preferred, unless its last slot is left.
+constexpr double limited_cost = 0.5;
 constexpr double failure_cost = 4;         // of a target that always fails while others never do
 constexpr double usual_slowdown = 1.25;    // up to this factor a target counts as not slowed
 constexpr std::size_t sample_factor = 3;   // targets sampled for each one that is probed
@@ -79,9 +83,19 @@
     if (target.info_.data_centre_ != view.data_centre_) {
         sum.extra_ += remote_cost;
     }
+    if (target.limit_) {
+        sum.extra_ += limited_cost;
+    }
     return sum;
 }
 
+placed_attempt attempt_at(const service_view& view, target_index target, const cost& own)
+{
+    const double latency_ratio = own.wait_ + own.work_;
+    const double expected = view.mean_latency_ns_ * latency_ratio;
+    return {target, latency_ratio, duration{static_cast<std::int64_t>(expected)}};
+}
+
 bool is_full(const service_view& view, const probed_target& probed,
              const placement_options& options)
 {
@@ -101,14 +115,24 @@
         std::swap(from[i], from[i + uniform_below(random, from.size() - i)]);
     }
     from.resize(sampled);
+    const auto expected = [&](target_index index) {
+        const target_state& target = view.targets_[index];
+        return expected_in_flight(view, target, now) + (target.limit_ ? limited_cost : 0);
+    };
     std::stable_sort(from.begin(), from.end(), [&](target_index one, target_index other) {
-        return expected_in_flight(view, view.targets_[one], now) <
-               expected_in_flight(view, view.targets_[other], now);
+        return expected(one) < expected(other);
     });
     from.resize(std::min(from.size(), count));
     return from;
 }
 
+bool has_unlimited_target(const service_view& view)
+{
+    return std::any_of(view.targets_.begin(), view.targets_.end(), [](const target_state& target) {
+        return target.listed_ && !target.info_.leaving_ && !target.limit_;
+    });
+}
+
 } // namespace
 
 std::vector<target_index> probe_candidates(service_view& view,
@@ -175,6 +199,9 @@
 {
     return std::any_of(probed.begin(), probed.end(), [&](const probed_target& one) {
         const target_state& target = view.targets_[one.target_];
+        if (target.limit_ && has_unlimited_target(view)) {
+            return false;
+        }
         const load_report load = one.load_.value_or(load_report{});
         return requests_at(target, one) + 1 < slots_of(view, target, load) + 0.5 &&
                requests_at(target, one) < 1 && load.slowdown_ <= usual_slowdown &&
@@ -205,14 +232,40 @@
             equals = 1;
         }
         best_cost = total;
-        const double latency_ratio = own.wait_ + own.work_;
-        const double expected = view.mean_latency_ns_ * latency_ratio;
-        best = placed_attempt{one.target_, latency_ratio,
-                              duration{static_cast<std::int64_t>(expected)}};
+        best = attempt_at(view, one.target_, own);
     }
     return best;
 }
 
+std::vector<placed_attempt> place_limited(const service_view& view,
+                                          std::span<const probed_target> probed,
+                                          const placement_options& options, std::size_t count,
+                                          time_point now)
+{
+    std::vector<std::pair<double, placed_attempt>> ranked;
+    double unlimited_cost = std::numeric_limits<double>::infinity();
+    for (const probed_target& one : probed) {
+        if (is_full(view, one, options)) {
+            continue;
+        }
+        const cost own = cost_of(view, one, now);
+        if (view.targets_[one.target_].limit_) {
+            ranked.emplace_back(own.total(), attempt_at(view, one.target_, own));
+        }
+        else {
+            unlimited_cost = std::min(unlimited_cost, own.total());
+        }
+    }
+    std::erase_if(ranked, [&](const auto& each) { return each.first > unlimited_cost; });
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto& one, const auto& other) { return one.first < other.first; });
+    std::vector<placed_attempt> placed;
+    for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i) {
+        placed.push_back(ranked[i].second);
+    }
+    return placed;
+}
+
 std::optional<placed_attempt> place_unprobed(service_view& view,
                                              std::span<const target_index> exclude, time_point now,
                                              random_source& random)
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -66,7 +66,7 @@
 double extra_attempts_max(const placement_budget&, double slack, std::size_t targets);
 
 // Whether one of the targets would start the attempt at once and at its usual speed, which ends the
-// search.
+// search. A target that names a limit counts only if all of them do.
 bool has_free_target(const service_view&, std::span<const probed_target>, time_point now);
 
 // The target with the lowest cost, and its expected latency. None when all are full.
@@ -90,6 +90,12 @@
 bool is_acceptable_when_scarce(const placement_budget&, const std::optional<placed_attempt>&,
                                std::optional<duration> objective_left);
 
+// The probed targets that name a limit and rank before the best one without, best first: the order
+// in which one request wishes for their grants. At most `count`.
+std::vector<placed_attempt> place_limited(const service_view&, std::span<const probed_target>,
+                                          const placement_options&, std::size_t count,
+                                          time_point now);
+
 // Expected time until a slot is free at one of the probed targets.
 duration time_to_free_slot(const service_view&, std::span<const probed_target>);
 
--- a/src/routing/search_progress.cpp
+++ b/src/routing/search_progress.cpp
@@ -137,6 +137,8 @@
         return "no_probes";
     case search_end::no_targets:
         return "no_targets";
+    case search_end::limited:
+        return "limited";
     }
     return "unknown";
 }
--- a/src/routing/search_progress.hpp
+++ b/src/routing/search_progress.hpp
@@ -69,6 +69,7 @@
     no_answer,  // probes were sent, and none answered in time
     no_probes,  // the budget of probes is spent
     no_targets, // none that may take a request
+    limited,    // by the limits that targets name; the others are full
 };
 search_end end_without_target(const search_progress&, bool has_targets);
 const char* to_string(search_end);
--- a/src/routing/target_state.hpp
+++ b/src/routing/target_state.hpp
@@ -27,6 +27,7 @@
     std::vector<time_point> started_; // start times of these attempts, oldest first
     std::optional<received_load> load_;
     std::optional<target_limit> limit_; // named by the target; none: it takes what it has room for
+    std::uint32_t granted_ = 0;         // requests granted to this host in the current second
     std::optional<time_point> drain_reported_at_; // last report that the target drains
     std::optional<time_point> cold_since_;        // start of its cold start; none: warm
     time_point warm_at_{};                        // end of its reported warm-up
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -370,6 +370,10 @@
         in.check(!out.services_.empty(), "services", "is empty", "name at least one service");
     }
     in.optional("header_names", out.header_names_);
+    in.check(out.header_names_.limit_.empty() ||
+                 (out.directory_ && out.directory_->service_.policy_ == "probed"),
+             "header_names", "names a \"limit\" that this host would not keep",
+             "set the policy \"probed\" in /directory/service, or remove \"limit\"");
     in.optional("tracing", out.tracing_);
     in.optional("logging", out.logging_);
     in.optional("customer_header", out.customer_header_, header_length);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -112,7 +112,8 @@
     std::string expect_instance_; // sent to a target: the only instance that may run the request
     std::string instance_;        // in the response to a probe: the target's id
     std::string load_;            // "running,waiting,slots[,percent of the usual time]"
-    std::string limit_;           // requests per second that a target takes from all hosts together
+    // Requests per second that a target takes from all hosts together. Used with a directory only.
+    std::string limit_;
 };
 
 // The listener for readiness checks and metrics of a host that follows a directory.
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -69,6 +69,8 @@
     prometheus::Counter& probe_bytes_;
     prometheus::Family<prometheus::Gauge>& target_limits_;     // requests per second
     prometheus::Family<prometheus::Gauge>& target_limit_ages_; // seconds
+    prometheus::Family<prometheus::Gauge>& target_limit_granted_;
+    prometheus::Counter& limited_requests_;
 
     counter_set<admission::refusal, admission::refusal::overload>
         refusals_; // refusal::none is never counted
--- a/tests/limit_hosts_test.cpp
+++ b/tests/limit_hosts_test.cpp
@@ -110,8 +110,10 @@
 
     void start_hosts(int count)
     {
+        auto urgent = route_json("sell", "/sell/", "safe", "ledger");
+        urgent["priority"] = 0;
         store.put("config", "main",
-                  state_json(1, {route_json("look", "/look/", "safe", "ledger")}));
+                  state_json(1, {route_json("look", "/look/", "safe", "ledger"), urgent}));
         for (int i = 0; i < count; ++i) {
             settings::settings config = directory_settings(store.port());
             config.host_.id_ = fmt::format("host-{}", i);
@@ -133,8 +135,8 @@
         const time_point end = monotonic_now() + time;
         for (std::size_t i = 0; monotonic_now() < end; ++i) {
             test_client caller{hosts[i % hosts.size()]->port()};
-            caller.send(
-                fmt::format("GET /look/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: {}\r\n\r\n", i));
+            caller.send(fmt::format("GET /{}/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: {}\r\n\r\n",
+                                    i % 2 == 0 ? "look" : "sell", i));
             answers.push_back(caller.read_answer());
             std::this_thread::sleep_for(15ms);
         }
@@ -161,3 +163,52 @@
             answer.c_str());
     }
 }
+
+TEST(limit_hosts, a_host_crashes_while_it_asks_for_grants)
+{
+    std::vector<std::unique_ptr<limited_target>> targets;
+    for (const char* limit : {"1", "1", "3", "2"}) {
+        targets.push_back(std::make_unique<limited_target>(limit));
+        const std::uint16_t port = targets.back()->port();
+        store.put("servers", fmt::format("i-{}", port), server_json(port));
+    }
+    start_hosts(3);
+    for (auto& host : hosts) {
+        CHECK(host->reaches(1, targets.size()));
+    }
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([this] { send_for(2s); });
+    }
+    std::this_thread::sleep_for(1s);
+    hosts.front()->run([](http::http_task& task) {
+        task.grants().set_granters(std::vector{feed_address(0), feed_address(2)}, feed_address(0));
+    });
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    for (auto& host : hosts) {
+        CHECK(host->reaches(1, targets.size()));
+    }
+}
+
+TEST(limit_hosts, a_host_asks_without_end_for_a_grant_left_to_an_urgent_request)
+{
+    limited_target target{"4"};
+    store.put("servers", "i-1", server_json(target.port()));
+    start_hosts(1);
+    CHECK(hosts.front()->reaches(1, 1));
+    const auto send = [&](const std::string& path) {
+        test_client caller{hosts.front()->port()};
+        caller.send(fmt::format("GET /{}/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\n\r\n", path));
+        return caller.read_answer();
+    };
+    std::string answer;
+    for (int i = 0; i < 20 && !answer.starts_with("HTTP/1.1 503"); ++i) {
+        answer = send("sell");
+    }
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    std::this_thread::sleep_for(300ms);
+    CHECK(send("look").starts_with("HTTP/1.1 503"));
+    CHECK(send("sell").find("done") != std::string::npos);
+}
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -70,6 +70,8 @@
         {id, R"("id": "a b")", "s.json#/host/id", "is not a valid name"},
         {id, R"("id": "")", "s.json#/host/id", "is 0 bytes long"},
         {id + ",", "", "s.json#/host/id", "is missing"},
+        {R"("services")", R"("header_names": { "limit": "X-Limit" }, "services")",
+         "s.json#/header_names", "names a \"limit\" that this host would not keep"},
         {id, id + "," + id, "s.json#/host/id", "appears twice in one object"},
         {id, id + R"(, "hosts_max": 0)", "s.json#/host/hosts_max", "is 0, out of range"},
         {id, id + R"(, "hosts_max": 1.5)", "s.json#/host/hosts_max", "is not an integer"},
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -237,6 +237,9 @@
             http_task_->set_targets(service, std::move(targets));
         };
         events.on_store_call_ = [](store::operation, store::call_status) {};
+        events.on_grant_request_ = [this](std::string_view path) {
+            return http_task_->grants().answer(path);
+        };
         directory_ = std::make_unique<directory::directory_task>(
             *loop_, *config_.directory_, platform::dialect(), config_.host_.id_, 2,
             std::move(events));
