Read and show the store's era

The logs could not tell from which history of the store a revision comes. Hosts now read the era of each answer, by a field name that platform/ supplies, log its changes with the revisions held, and show it in the metrics and in the line source_changed. No decision depends on it yet.

--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -215,6 +215,9 @@
     events.on_store_call_ = [this](store::operation made, store::call_status seen) {
         metrics_.store_call(made, seen).Increment();
     };
+    events.on_store_era_ = [this](std::uint64_t era) {
+        metrics_.store_era_.Set(static_cast<double>(era));
+    };
     events.on_grant_request_ = [this](std::string_view path) {
         return http_task_->grants().answer(path);
     };
--- a/src/directory/dialect.hpp
+++ b/src/directory/dialect.hpp
@@ -20,6 +20,7 @@
     std::string_view configuration_kind_; // kind of the desired state
     std::string_view configuration_name_;
     std::string_view targets_kind_;
+    std::string_view era_field_; // header field of an answer that names the store's era
 
     // Path and query of the GET request that lists or watches a kind.
     std::string (*call_path_)(std::string_view kind, const follow_call&) = nullptr;
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -80,15 +80,16 @@
                      {},
                      random_,
                      {[this](const follow_update& update) { on_configuration(update); },
-                      events_.on_store_call_}},
-      targets_{
-          loop,
-          pool_,
-          store_dialect,
-          store_dialect.targets_kind_,
-          target_options(config),
-          random_,
-          {[this](const follow_update& update) { on_targets(update); }, events_.on_store_call_}},
+                      events_.on_store_call_,
+                      [this](auto era, time_point began) { on_era(era, began); }}},
+      targets_{loop,
+               pool_,
+               store_dialect,
+               store_dialect.targets_kind_,
+               target_options(config),
+               random_,
+               {[this](const follow_update& update) { on_targets(update); }, events_.on_store_call_,
+                [this](auto era, time_point began) { on_era(era, began); }}},
       client_{loop,
               fraction_of(config.drain_, feed_age_max_fraction) + feed_response_margin,
               random_,
@@ -191,6 +192,7 @@
                             {{"source", store_needed ? "store" : client_.peer_name()},
                              {"known_age_ms", known ? http::log_ms(loop_.now() - *known) : ""},
                              {"targets_revision", std::to_string(feed_.targets_revision_)},
+                             {"era", std::to_string(era_.value_)},
                              {"version", std::to_string(version_)}});
     if (!store_needed) {
         configuration_.stop();
@@ -217,6 +219,25 @@
     }
 }
 
+void directory_task::on_era(std::optional<std::uint64_t> named, time_point began)
+{
+    const std::uint64_t before = era_.value_;
+    const era_change change = on_era_heard(era_, named, began, loop_.now());
+    if (change == era_change::none) {
+        return;
+    }
+    telemetry::state_change(
+        "store_era_changed",
+        {{"era", std::to_string(named.value_or(0))},
+         {"before", std::to_string(before)},
+         {"outdated", change == era_change::outdated ? "yes" : "no"},
+         {"targets_revision", std::to_string(feed_.targets_revision_)},
+         {"configuration_revision", std::to_string(feed_.configuration_revision_)}});
+    if (events_.on_store_era_) {
+        events_.on_store_era_(era_.value_);
+    }
+}
+
 // Called after an update or a confirmation that nothing has changed.
 void directory_task::after_update()
 {
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -11,6 +11,7 @@
 #include "directory/follower.hpp"
 #include "directory/registry.hpp"
 #include "directory/source.hpp"
+#include "directory/store_era.hpp"
 #include "http/connection_pool.hpp"
 #include "http/page_server.hpp"
 #include "routes/route.hpp"
@@ -34,6 +35,7 @@
     std::function<void(routes::desired_state)> on_desired_state_;
     std::function<void(const std::string& service, std::vector<routing::target_info>)> on_targets_;
     std::function<void(store::operation, store::call_status)> on_store_call_;
+    std::function<void(std::uint64_t era)> on_store_era_; // the store names another era
     std::function<void()> on_peers_lost_; // newer settings may list other peers; see set_peers
     std::function<http::page(std::string_view path)> on_grant_request_; // of another host
 };
@@ -68,6 +70,7 @@
     bool on_page(const feed_page& page);
     void apply_page_targets(const feed_page& page, time_point now);
     void update_store_as_of();
+    void on_era(std::optional<std::uint64_t> named, time_point began);
     void after_update();
     void check_sources();
     void set_store_active(bool store_needed);
@@ -88,6 +91,7 @@
     std::set<std::string> logged_rejections_; // ids of invalid entries already logged
     std::uint64_t version_ = 0;
     bool targets_listed_ = false;
+    store_era era_; // by the store's answers to this host
     http::timer_id expiry_timer_ = 0;
     follower configuration_;
     follower targets_;
--- a/src/directory/follower.cpp
+++ b/src/directory/follower.cpp
@@ -1,6 +1,7 @@
 #include "directory/follower.hpp"
 
 #include "directory/dialect.hpp"
+#include "directory/store_era.hpp"
 #include "http/buffered_exchange.hpp"
 #include "http/connection_pool.hpp"
 #include "http/event_loop.hpp"
@@ -106,7 +107,8 @@
 
 void follower::call()
 {
-    const follow_call next = next_call(state_, loop_.now());
+    call_began_ = loop_.now();
+    const follow_call next = next_call(state_, call_began_);
     auto started = std::make_unique<http::buffered_exchange>(
         loop_,
         fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", dialect_.call_path_(kind_, next),
@@ -128,7 +130,12 @@
 {
     loop_.destroy_later(std::move(exchange_)); // its callback is still on the stack
     events_.on_call_(watch ? store::operation::watch : store::operation::list, status_of(answer));
-    if (answer.end_ == http::buffered_answer::end::answered && answer.head_.status_ == http_gone) {
+    const bool answered = answer.end_ == http::buffered_answer::end::answered;
+    if (answered) {
+        events_.on_era_(read_store_era(http::find_field(answer.head_, dialect_.era_field_)),
+                        call_began_);
+    }
+    if (answered && answer.head_.status_ == http_gone) {
         telemetry::state_change("store_history_gone", {{"kind", kind_}},
                                 telemetry::severity::warning);
         on_history_gone(state_, loop_.now());
--- a/src/directory/follower.hpp
+++ b/src/directory/follower.hpp
@@ -26,6 +26,8 @@
 struct follower_events {
     std::function<void(follow_update)> on_update_;
     std::function<void(store::operation, store::call_status)> on_call_; // for metrics
+    // An answer named this era; `began`: when its call was sent.
+    std::function<void(std::optional<std::uint64_t> era, time_point began)> on_era_;
 };
 
 class follower {
@@ -83,6 +85,7 @@
     random_source& random_;
     follower_events events_;
     std::optional<time_point> last_confirmed_at_;
+    time_point call_began_{};
     bool running_ = false;
     std::unique_ptr<http::buffered_exchange> exchange_;
     http::timer_id timer_ = 0;
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -127,6 +127,7 @@
                                                            "Requests that admission refused.",
                                                            "reason", refusals),
         gauge(registry, "configuration_version", "Version of the configuration in force."),
+        gauge(registry, "store_era", "Era of the store; another one after it was restored."),
         register_counter_set<decltype(metrics::peer_bytes_)>(
             registry, "peer_bytes_total", "Bytes exchanged with other entry hosts.", "direction",
             directions),
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -76,6 +76,7 @@
         refusals_; // refusal::none is never counted
 
     prometheus::Gauge& configuration_version_;
+    prometheus::Gauge& store_era_;
     counter_set<direction, direction::received> peer_bytes_;
     std::array<store_status_counters, static_cast<std::size_t>(store::operation::watch) + 1>
         store_calls_;
