Use all of the limits while most requests are refused

Cause: less urgent requests left every grant to urgent ones that had been denied; those asked for other targets, and the grants left were lost as buckets were full. Besides, with few probes left (3 a search) a search met few limited targets.

Change: a request that leaves grants to others takes them once half of what a bucket saves has been left. A search without a target asks once for limited targets that it did not probe. Two granters at most are asked for one request. grant_decided logs each question.

Test: limit_grants.grants_left_to_urgent_requests_are_lost, red with the former limit_granter.cpp.

--- a/src/http/grant_search.cpp
+++ b/src/http/grant_search.cpp
@@ -4,6 +4,7 @@
 #include "http/connection_pool.hpp"
 #include "http/event_loop.hpp"
 #include "peer/grant_wire.hpp"
+#include "telemetry/log.hpp"
 
 #include <fmt/format.h>
 
@@ -18,6 +19,10 @@
 
 constexpr duration answer_timeout = 100ms;
 constexpr std::size_t answer_bytes_max = 256;
+
+// Granters asked for one request: while many requests are denied, another one finds what the last
+// granter has left.
+constexpr int granters_asked_max = 2;
 constexpr int status_ok = 200;
 
 routing::grant_request wished_of(const routing::grant_request& request,
@@ -51,13 +56,14 @@
 void grant_search::ask_next()
 {
     const time_point now = grants_.loop_.now();
-    while (epoch_ == grants_.epoch_) {
+    while (epoch_ == grants_.epoch_ && granters_asked_ < granters_asked_max) {
         const auto question =
             routing::next_question(grants_.book_, request_.wishes_, asked_, now, grants_.random_);
         if (!question) {
             break;
         }
         asked_[question->granter_] = true;
+        ++granters_asked_;
         if (ask(*question)) {
             return;
         }
@@ -102,6 +108,7 @@
     const auto read = answered ? peer::read_grant_answer(answer.body_)
                                : result<routing::grant_answer>{tl::unexpected(error{})};
     if (!read) {
+        ++granters_failed_;
         routing::on_granter_failed(grants_.book_, question.granter_, grants_.loop_.now());
         ask_next();
         return;
@@ -123,6 +130,11 @@
 
 void grant_search::finish(std::optional<std::size_t> granted)
 {
+    telemetry::decided("grant_decided", {},
+                       {{"wishes", std::to_string(request_.wishes_.size())},
+                        {"granters_asked", std::to_string(granters_asked_)},
+                        {"granters_failed", std::to_string(granters_failed_)},
+                        {"target", granted ? request_.wishes_[*granted].target_ : ""}});
     if (const done_function done = std::exchange(done_, {})) {
         done(granted); // may destroy this
     }
--- a/src/http/grant_search.hpp
+++ b/src/http/grant_search.hpp
@@ -44,6 +44,8 @@
     routing::grant_request request_;
     done_function done_;
     std::vector<bool> asked_; // by granter
+    int granters_asked_ = 0;
+    int granters_failed_ = 0;
     std::uint64_t epoch_ = 0; // of the granters when this started
     std::unique_ptr<buffered_exchange> exchange_;
 };
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -30,6 +30,7 @@
                              duration time_left, done_function done)
     : http_task_{owner},
       service_{service},
+      tried_{exclude},
       exclude_{std::move(exclude)},
       limited_allowed_{limited_allowed},
       priority_{priority},
@@ -51,7 +52,7 @@
     const std::chrono::duration<double, std::nano> mean{service_.view_.mean_latency_ns_};
     routing::on_search_started(service_.placement_budget_,
                                std::chrono::duration<double>{mean}.count());
-    deny_limited(limited_allowed_);
+    deny_ungrantable();
     begin_round();
 }
 
@@ -96,7 +97,8 @@
     if (!done_) {
         return;
     }
-    if (usable && !is_denied(answered.target_)) {
+    const bool excluded = asked_probed_ && service_.view_.targets_[answered.target_].limit_;
+    if (usable && !excluded) {
         probed_.push_back(answered);
     }
     routing::on_probe_ended(progress_, round == progress_.rounds_, usable);
@@ -114,7 +116,6 @@
     if (is_denied(target)) {
         return;
     }
-    exclude_.push_back(target);
     denied_targets_.push_back(target);
     const routing::target_state& state = service_.view_.targets_[target];
     if (limited_allowed_ && state.limit_ && denied_.size() < peer::grant_wishes_max) {
@@ -122,18 +123,34 @@
     }
 }
 
-// Denies the targets that name a limit, unless a granter may have a grant for them.
-void target_search::deny_limited(bool may_be_granted)
+// Denies the targets that no granter has a grant for now.
+void target_search::deny_ungrantable()
 {
     const auto& targets = service_.view_.targets_;
     for (routing::target_index index = 0; index < targets.size(); ++index) {
         const routing::target_state& target = targets[index];
-        if (target.listed_ && target.limit_ &&
-            !(may_be_granted &&
-              http_task_.grants().may_be_granted(to_string(target.info_.address_)))) {
+        const bool grantable = limited_allowed_ &&
+                               http_task_.grants().may_be_granted(to_string(target.info_.address_));
+        if (target.listed_ && target.limit_ && !grantable) {
             deny(index);
         }
     }
+    exclude_.insert(exclude_.end(), denied_targets_.begin(), denied_targets_.end());
+}
+
+// Probes no more targets that name a limit. One request asks for grants twice at most, as each
+// question costs the granters time.
+void target_search::exclude_limited()
+{
+    const auto& targets = service_.view_.targets_;
+    for (routing::target_index index = 0; index < targets.size(); ++index) {
+        if (targets[index].limit_) {
+            exclude_.push_back(index);
+        }
+    }
+    std::erase_if(probed_, [&](const routing::probed_target& one) {
+        return targets[one.target_].limit_.has_value();
+    });
 }
 
 void target_search::proceed()
@@ -156,32 +173,54 @@
         begin_round();
         return;
     case routing::search_step::end:
-        if (placed && service_.view_.targets_[placed->target_].limit_) {
-            ask_for_grant();
-        }
-        else {
-            finish(placed);
-        }
+        end_or_ask_for_grant(placed);
         return;
     }
 }
 
-void target_search::ask_for_grant()
+// A target that names a limit needs a grant. Without any target, one that was not probed may do.
+void target_search::end_or_ask_for_grant(const std::optional<routing::placed_attempt>& placed)
 {
     const time_point now = http_task_.loop().now();
-    grantable_ =
-        routing::place_limited(service_.view_, probed_, options, peer::grant_wishes_max, now);
+    if (placed && !service_.view_.targets_[placed->target_].limit_) {
+        finish(placed);
+        return;
+    }
+    if (placed) {
+        ask_for_grant(
+            routing::place_limited(service_.view_, probed_, options, peer::grant_wishes_max, now));
+        return;
+    }
+    const bool may_ask = limited_allowed_ && !std::exchange(asked_unprobed_, true);
+    std::vector<routing::target_index> exclude = tried_;
+    exclude.insert(exclude.end(), denied_targets_.begin(), denied_targets_.end());
+    if (!may_ask ||
+        !ask_for_grant(routing::place_limited_unprobed(
+            service_.view_, exclude, peer::grant_wishes_max, now, http_task_.random()))) {
+        finish(placed);
+    }
+}
+
+// Returns whether there was a target to ask for. The search goes on when the answer has come.
+bool target_search::ask_for_grant(std::vector<routing::placed_attempt> grantable)
+{
+    if (grantable.empty()) {
+        return false;
+    }
+    grantable_ = std::move(grantable);
     routing::grant_request request{priority_, {}};
     for (const routing::placed_attempt& each : grantable_) {
-        request.wishes_.push_back(wish_for(service_.view_.targets_[each.target_], now));
+        request.wishes_.push_back(
+            wish_for(service_.view_.targets_[each.target_], http_task_.loop().now()));
     }
     grant_search_ = std::make_unique<grant_search>(
         http_task_.grants(), std::move(request),
         [this](std::optional<std::size_t> granted) { on_grant_decided(granted); });
     grant_search_->start();
+    return true;
 }
 
-// Without a grant the search goes on among the targets that name no limit or may still be granted.
+// Without a grant the search goes on among the targets that name no limit.
 void target_search::on_grant_decided(std::optional<std::size_t> granted)
 {
     const std::shared_ptr<target_search> kept_alive = shared_from_this();
@@ -195,9 +234,8 @@
     for (const routing::placed_attempt& each : grantable_) {
         deny(each.target_);
     }
-    deny_limited(true);
-    std::erase_if(probed_,
-                  [&](const routing::probed_target& one) { return is_denied(one.target_); });
+    asked_probed_ = true;
+    exclude_limited();
     proceed();
 }
 
@@ -228,7 +266,7 @@
     if (progress_.answered_ > 0 || (progress_.sent_ > 0 && !is_link_alive)) {
         return std::nullopt;
     }
-    deny_limited(false);
+    exclude_limited();
     return routing::place_unprobed(service_.view_, exclude_, http_task_.loop().now(),
                                    http_task_.random());
 }
--- a/src/http/target_search.hpp
+++ b/src/http/target_search.hpp
@@ -59,8 +59,10 @@
     std::optional<routing::placed_attempt> place_without_answer();
     bool is_denied(routing::target_index target) const;
     void deny(routing::target_index target);
-    void deny_limited(bool may_be_granted);
-    void ask_for_grant();
+    void deny_ungrantable();
+    void exclude_limited();
+    void end_or_ask_for_grant(const std::optional<routing::placed_attempt>& placed);
+    bool ask_for_grant(std::vector<routing::placed_attempt> grantable);
     void on_grant_decided(std::optional<std::size_t> granted);
     void finish(std::optional<routing::placed_attempt> placed);
     routing::search_end reason_without_target() const;
@@ -68,6 +70,7 @@
 
     http_task& http_task_;
     service_state& service_;
+    std::vector<routing::target_index> tried_;   // by earlier attempts
     std::vector<routing::target_index> exclude_; // including the targets already probed
     bool limited_allowed_;
     std::uint32_t priority_;
@@ -77,7 +80,9 @@
     routing::search_progress progress_;
     time_point started_{};
     time_point patience_ends_{};
-    std::unique_ptr<grant_search> grant_search_;     // while a grant is asked for
+    std::unique_ptr<grant_search> grant_search_; // while a grant is asked for
+    bool asked_probed_ = false;                  // for a grant for one of the targets probed
+    bool asked_unprobed_ = false;
     std::vector<routing::placed_attempt> grantable_; // the targets it may be for
     std::vector<routing::target_index> denied_targets_;
     std::vector<routing::grant_wish> denied_; // for Retry-After
--- a/src/routing/limit_granter.cpp
+++ b/src/routing/limit_granter.cpp
@@ -39,9 +39,21 @@
     return std::chrono::duration<double>(to - from).count();
 }
 
+double saved_max(const grant_bucket& bucket)
+{
+    return std::max(bucket.per_second_ * saved_seconds, saved_min);
+}
+
 double grants_max(const grant_bucket& bucket)
 {
-    return 1 + std::max(bucket.per_second_ * saved_seconds, saved_min);
+    return 1 + saved_max(bucket);
+}
+
+// Grants that must be there for a request. One that leaves grants to others takes them only when
+// half of what can be saved has been left, so that none is lost.
+double grants_needed(const grant_bucket& bucket, bool leaves_grants)
+{
+    return leaves_grants ? 1 + saved_max(bucket) / 2 : 1;
 }
 
 void fill(grant_bucket& bucket, time_point now)
@@ -51,6 +63,7 @@
     bucket.filled_at_ = now;
 }
 
+// Until any request may be granted: hosts also use it for more urgent ones.
 duration time_to_grant(const grant_bucket& bucket)
 {
     const double missing = std::max(0.0, 1 - bucket.grants_);
@@ -111,7 +124,7 @@
 }
 
 // Whether the next grant is for another request that was denied.
-bool must_pass(const limit_granter& granter, const waiting& others)
+bool is_turn_of_others(const limit_granter& granter, const waiting& others)
 {
     const bool is_turn_of_less_urgent = granter.urgent_grants_ + 1 >= less_urgent_turn;
     return others.more_urgent_ ? !is_turn_of_less_urgent
@@ -139,14 +152,14 @@
     }
     const std::uint32_t priority = std::min(request.priority_, priority_max);
     const waiting others = find_waiting(granter, priority, now);
-    const bool passes = must_pass(granter, others);
+    const bool leaves_grants = is_turn_of_others(granter, others);
     for (std::size_t i = 0; i < request.wishes_.size(); ++i) {
         grant_bucket* bucket = bucket_for(granter, request.wishes_[i], now);
         if (bucket == nullptr) {
             answer.waits_.push_back(bucket_lifetime);
             continue;
         }
-        if (bucket->grants_ >= 1 && !passes) {
+        if (bucket->grants_ >= grants_needed(*bucket, leaves_grants)) {
             bucket->grants_ -= 1;
             count_grant(granter, others);
             answer.granted_ = i;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -266,6 +266,25 @@
     return placed;
 }
 
+std::vector<placed_attempt> place_limited_unprobed(const service_view& view,
+                                                   std::span<const target_index> exclude,
+                                                   std::size_t count, time_point now,
+                                                   random_source& random)
+{
+    std::vector<target_index> from = eligible_targets(view, exclude);
+    std::erase_if(from, [&](target_index index) {
+        const target_state& target = view.targets_[index];
+        return !target.limit_ || !is_available(target, now) ||
+               expected_in_flight(view, target, now) >= slots_of(view, target, {});
+    });
+    std::vector<placed_attempt> placed;
+    for (std::size_t i = 0; i < std::min(count, from.size()); ++i) {
+        std::swap(from[i], from[i + uniform_below(random, from.size() - i)]);
+        placed.push_back({from[i], 1, duration{static_cast<std::int64_t>(view.mean_latency_ns_)}});
+    }
+    return placed;
+}
+
 std::optional<placed_attempt> place_unprobed(service_view& view,
                                              std::span<const target_index> exclude, time_point now,
                                              random_source& random)
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -96,6 +96,13 @@
                                           const placement_options&, std::size_t count,
                                           time_point now);
 
+// A random sample of the targets that name a limit and are not expected to be full, by earlier
+// reports: for a search that has found no target. Within their limits such targets are rarely full.
+std::vector<placed_attempt> place_limited_unprobed(const service_view&,
+                                                   std::span<const target_index> exclude,
+                                                   std::size_t count, time_point now,
+                                                   random_source&);
+
 // Expected time until a slot is free at one of the probed targets.
 duration time_to_free_slot(const service_view&, std::span<const probed_target>);
 
--- a/tests/limit_grants_test.cpp
+++ b/tests/limit_grants_test.cpp
@@ -53,6 +53,7 @@
     };
     std::map<std::string, std::vector<time_point>> arrivals_{};
     std::size_t asked_ = 0;
+    std::size_t wishes_ = 4; // targets that one request asks for
 
     static std::vector<routing::grant_book> make_books(std::size_t hosts)
     {
@@ -65,7 +66,7 @@
     {
         std::vector<grant_wish> made;
         const std::size_t first = uniform_below(random_, targets_);
-        for (std::size_t i = 0; i < std::min<std::size_t>(4, targets_); ++i) {
+        for (std::size_t i = 0; i < std::min(wishes_, targets_); ++i) {
             made.push_back({"target-" + std::to_string((first + i) % targets_), limit_, 5ms});
         }
         return made;
@@ -76,8 +77,11 @@
     {
         const auto all = wishes();
         std::vector<bool> asked(granters);
-        while (const auto question =
-                   routing::next_question(books_[host], all, asked, now_, random_)) {
+        for (int i = 0; i < 2; ++i) { // as many granters as a host asks for one request
+            const auto question = routing::next_question(books_[host], all, asked, now_, random_);
+            if (!question) {
+                return false;
+            }
             asked[question->granter_] = true;
             ++asked_;
             if (!reaches_(host, question->granter_)) {
@@ -107,7 +111,7 @@
         while (now_ < end) {
             const double gap = -std::log(1 - uniform_unit(random_)) / demand_;
             now_ += std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap));
-            request(uniform_below(random_, hosts_));
+            request(uniform_below(random_, hosts_), uniform_below(random_, 4) == 0 ? 1 : 2);
         }
     }
 
@@ -175,6 +179,14 @@
     }
 }
 
+TEST(limit_grants, grants_left_to_urgent_requests_are_lost)
+{
+    fleet hosts{136, 160, 2.2, 2 * 2.2 * 160};
+    hosts.wishes_ = 2;
+    hosts.run(30s);
+    CHECK(hosts.sent() >= 0.9 * 2.2 * 160 * 30);
+}
+
 TEST(limit_grants, restarts_cuts_and_freezes_of_hosts_let_the_sum_exceed_a_limit)
 {
     for (const double limit : {0.2, 1.8, 12.0}) {
