Order the store's data by era before revision

Cause: a revision of the old era was taken for a place in the new history. A host that had made no call while the store was away watched from it; once the store had given it out again, there was no 410. Ruled out: versions that fall (none did), lost watches (a failed call is followed by an exact list).

Change: answers are used only in the era that the known revision belongs to; otherwise the list is read again. Pages between hosts carry the era, and are compared by it first. A new era, from the store or a peer, voids the known revisions and restarts both followers. Answers to calls begun before it are not used.

--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -81,7 +81,7 @@
                      random_,
                      {[this](const follow_update& update) { on_configuration(update); },
                       events_.on_store_call_,
-                      [this](auto era, time_point began) { on_era(era, began); }}},
+                      [this](auto era, time_point began) { return on_era(era, began, targets_); }}},
       targets_{loop,
                pool_,
                store_dialect,
@@ -89,7 +89,7 @@
                target_options(config),
                random_,
                {[this](const follow_update& update) { on_targets(update); }, events_.on_store_call_,
-                [this](auto era, time_point began) { on_era(era, began); }}},
+                [this](auto era, time_point began) { return on_era(era, began, configuration_); }}},
       client_{loop,
               fraction_of(config.drain_, feed_age_max_fraction) + feed_response_margin,
               random_,
@@ -199,9 +199,10 @@
         targets_.stop();
         return;
     }
-    targets_.start(targets_listed_ ? feed_.targets_revision_ : 0, store_down_since_);
+    targets_.start({feed_.store_era_, targets_listed_ ? feed_.targets_revision_ : 0},
+                   store_down_since_);
     if (version_ == 0) {
-        configuration_.start(0, std::nullopt);
+        configuration_.start({}, std::nullopt);
     }
 }
 
@@ -219,20 +220,37 @@
     }
 }
 
-void directory_task::on_era(std::optional<std::uint64_t> named, time_point began)
+// Returns whether the answer that names this era may be used. `other`: the follower that was not
+// answered.
+bool directory_task::on_era(std::optional<std::uint64_t> named, time_point began, follower& other)
 {
     const std::uint64_t before = era_.value_;
     const era_change change = on_era_heard(era_, named, began, loop_.now());
-    if (change == era_change::none) {
-        return;
+    if (change == era_change::changed) {
+        change_era(before);
+        if (before != 0) {
+            other.on_store_restored();
+        }
     }
+    return change != era_change::outdated;
+}
+
+// The revisions known until now mean nothing in the new era. Entries of targets that the store has
+// lost are kept for a while, in which the targets write them again.
+void directory_task::change_era(std::uint64_t before)
+{
     telemetry::state_change(
         "store_era_changed",
-        {{"era", std::to_string(named.value_or(0))},
+        {{"era", std::to_string(era_.value_)},
          {"before", std::to_string(before)},
-         {"outdated", change == era_change::outdated ? "yes" : "no"},
          {"targets_revision", std::to_string(feed_.targets_revision_)},
          {"configuration_revision", std::to_string(feed_.configuration_revision_)}});
+    if (feed_.store_era_ != era_.value_) {
+        set_store_era(feed_, era_.value_);
+    }
+    if (before != 0) {
+        on_store_recovered(registry_, loop_.now());
+    }
     if (events_.on_store_era_) {
         events_.on_store_era_(era_.value_);
     }
@@ -245,14 +263,30 @@
     check_sources();
 }
 
+bool directory_task::is_older(const feed_page& page) const
+{
+    const bool eras_known = page.store_era_ != 0 && feed_.store_era_ != 0;
+    if (eras_known && page.store_era_ != feed_.store_era_) {
+        return page.store_era_ < feed_.store_era_;
+    }
+    return page.targets_revision_ < feed_.targets_revision_;
+}
+
 // Applies a peer's page unless this host already has newer data. Returns whether it was applied.
 bool directory_task::on_page(const feed_page& page)
 {
-    if (page.targets_revision_ < feed_.targets_revision_ || page.version_ < version_ ||
-        (!targets_listed_ && !page.complete_)) {
+    if (is_older(page) || page.version_ < version_ || (!targets_listed_ && !page.complete_)) {
         return false;
     }
     const time_point now = loop_.now();
+    if (page.store_era_ > era_.value_) {
+        const std::uint64_t before = std::exchange(era_, {page.store_era_, now}).value_;
+        change_era(before);
+        if (before != 0) {
+            configuration_.on_store_restored();
+            targets_.on_store_restored();
+        }
+    }
     if (page.version_ > version_ && !page.document_.empty()) {
         const auto value = nlohmann::json::parse(page.document_, nullptr, false);
         apply_desired_state(value, page.document_, page.configuration_revision_);
@@ -263,6 +297,7 @@
     feed_.configuration_revision_ =
         std::max(feed_.configuration_revision_, page.configuration_revision_);
     feed_.targets_revision_ = page.targets_revision_;
+    feed_.store_era_ = page.store_era_;
     position_ = {page.epoch_, page.sequence_, version_};
     targets_listed_ = true;
     const time_point confirmed_at = now - page.age_;
@@ -360,7 +395,7 @@
     feed_.targets_revision_ = std::max(feed_.targets_revision_, targets_.revision());
     // While the store may be unavailable, only targets are requested, until it responds.
     if (targets_.is_running() && !configuration_.is_running()) {
-        configuration_.start(feed_.configuration_revision_, std::nullopt);
+        configuration_.start({feed_.store_era_, feed_.configuration_revision_}, std::nullopt);
     }
     publish_target_changes();
     expire_missing_targets();
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -70,7 +70,9 @@
     bool on_page(const feed_page& page);
     void apply_page_targets(const feed_page& page, time_point now);
     void update_store_as_of();
-    void on_era(std::optional<std::uint64_t> named, time_point began);
+    bool on_era(std::optional<std::uint64_t> named, time_point began, follower& other);
+    bool is_older(const feed_page& page) const;
+    void change_era(std::uint64_t before);
     void after_update();
     void check_sources();
     void set_store_active(bool store_needed);
@@ -91,7 +93,7 @@
     std::set<std::string> logged_rejections_; // ids of invalid entries already logged
     std::uint64_t version_ = 0;
     bool targets_listed_ = false;
-    store_era era_; // by the store's answers to this host
+    store_era era_; // by the store's answers to this host or to its peers
     http::timer_id expiry_timer_ = 0;
     follower configuration_;
     follower targets_;
--- a/src/directory/feed.cpp
+++ b/src/directory/feed.cpp
@@ -48,6 +48,13 @@
     return known.sequence_ != before;
 }
 
+void set_store_era(feed& known, std::uint64_t era)
+{
+    known.store_era_ = era;
+    known.targets_revision_ = 0;
+    known.configuration_revision_ = 0;
+}
+
 void update_desired_state(feed& known, std::uint64_t version, std::string document)
 {
     known.version_ = version;
@@ -68,6 +75,7 @@
     page.sequence_ = known.sequence_;
     page.complete_ = reader.epoch_ != known.epoch_;
     page.age_ = now - as_of;
+    page.store_era_ = known.store_era_;
     page.targets_revision_ = known.targets_revision_;
     page.configuration_revision_ = known.configuration_revision_;
     page.version_ = known.version_;
--- a/src/directory/feed.hpp
+++ b/src/directory/feed.hpp
@@ -29,6 +29,7 @@
     std::size_t gone_count_ = 0;
     std::uint64_t version_ = 0;
     std::string document_;
+    std::uint64_t store_era_ = 0; // in which the revisions count; 0: not known
     std::uint64_t targets_revision_ = 0;
     std::uint64_t configuration_revision_ = 0;
 };
@@ -36,6 +37,9 @@
 // Records the changes among the targets. Returns whether there are any.
 bool update_targets(feed&, const registry&, time_point now);
 
+// The store names another era: revisions of the last one mean nothing in it.
+void set_store_era(feed&, std::uint64_t era);
+
 void update_desired_state(feed&, std::uint64_t version, std::string document);
 
 // Whether the reader's data is out of date.
--- a/src/directory/feed_page.hpp
+++ b/src/directory/feed_page.hpp
@@ -22,6 +22,7 @@
     std::uint64_t sequence_ = 0;         // position to continue from
     bool complete_ = false;              // targets_ is the complete list
     duration age_{};                     // time since the store confirmed this data
+    std::uint64_t store_era_ = 0;        // in which the revisions count; 0: not known
     std::uint64_t targets_revision_ = 0; // store revision up to which targets are known
     std::uint64_t configuration_revision_ = 0; // the same for the desired state
     std::vector<feed_target> targets_;         // oldest first
--- a/src/directory/follow.cpp
+++ b/src/directory/follow.cpp
@@ -73,25 +73,40 @@
     return {false, state.after_, 0, {}, can_list_be_stale(state)};
 }
 
-void resume_from(follow_state& state, std::uint64_t revision,
+void resume_from(follow_state& state, const store_position& known,
                  std::optional<time_point> failing_since)
 {
-    state.listed_ = revision > 0;
+    state.listed_ = known.revision_ > 0;
+    state.era_ = known.era_;
+    state.resumed_ = true;
     state.confirmed_ = false;
     state.needs_consistent_list_ = false;
-    state.revision_ = revision;
+    state.revision_ = known.revision_;
     discard_list(state);
     state.failures_ = 0;
     state.failing_since_ = failing_since;
 }
 
+bool is_from_other_era(const follow_state& state, std::uint64_t era)
+{
+    // A store that names no era has only one.
+    return era != 0 && (state.era_ != 0 ? era != state.era_ : state.resumed_);
+}
+
 follow_update on_list_page(follow_state& state, list_page page, time_point now)
 {
     follow_update update;
     update.outage_duration_ = record_success(state, now);
+    if (!state.after_.empty() && is_from_other_era(state, page.era_)) {
+        discard_list(state); // its pages are from two histories
+        state.due_ = now;
+        return update;
+    }
     if (state.after_.empty()) {
         state.listed_objects_.clear();
         state.first_revision_ = page.revision_;
+        state.era_ = page.era_;
+        state.resumed_ = false;
     }
     std::move(page.objects_.begin(), page.objects_.end(),
               std::back_inserter(state.listed_objects_));
--- a/src/directory/follow.hpp
+++ b/src/directory/follow.hpp
@@ -5,6 +5,7 @@
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
+#include "directory/store_era.hpp"
 #include "directory/stored_object.hpp"
 
 #include <cstdint>
@@ -33,6 +34,8 @@
     bool needs_consistent_list_ = false;        // the next list must not be stale
     bool confirmed_ = false;                    // up-to-date data was received since the list
     std::uint64_t revision_ = 0;                // store revision up to which all changes are known
+    std::uint64_t era_ = 0;                     // of the store, for the revision; 0: not known
+    bool resumed_ = false;                      // the revision came from another source
     std::string after_;                         // the next page begins after this name
     std::vector<stored_object> listed_objects_; // from the pages so far, or of a stale list
     bool has_stale_list_ = false;               // listed_objects_ is a complete list, held back
@@ -61,9 +64,14 @@
 
 follow_call next_call(const follow_state&, time_point now);
 
-// Continues from data that came from another source, up to the revision; 0: there is none.
+// Continues from data that came from another source, up to the position.
 // `failing_since`: since when the store is known to be unavailable.
-void resume_from(follow_state&, std::uint64_t revision, std::optional<time_point> failing_since);
+void resume_from(follow_state&, const store_position& known,
+                 std::optional<time_point> failing_since);
+
+// Whether the revision known means nothing in this era of the store, so that a watch from it may
+// lack changes. The list must be read again.
+bool is_from_other_era(const follow_state&, std::uint64_t era);
 
 // Handle one page of the list, or the changes since the last response.
 follow_update on_list_page(follow_state&, list_page page, time_point now);
--- a/src/directory/follower.cpp
+++ b/src/directory/follower.cpp
@@ -71,15 +71,24 @@
     loop_.cancel(timer_);
 }
 
-void follower::start(std::uint64_t known_revision, std::optional<time_point> failing_since)
+void follower::start(const store_position& known, std::optional<time_point> failing_since)
 {
     if (std::exchange(running_, true)) {
         return;
     }
-    resume_from(state_, known_revision, failing_since);
+    resume_from(state_, known, failing_since);
     call();
 }
 
+void follower::on_store_restored()
+{
+    if (running_) {
+        exchange_.reset();
+        on_history_gone(state_, loop_.now());
+        schedule();
+    }
+}
+
 void follower::set_pace(duration pause, duration wait)
 {
     state_.options_.pause_ = pause;
@@ -131,9 +140,15 @@
     loop_.destroy_later(std::move(exchange_)); // its callback is still on the stack
     events_.on_call_(watch ? store::operation::watch : store::operation::list, status_of(answer));
     const bool answered = answer.end_ == http::buffered_answer::end::answered;
-    if (answered) {
-        events_.on_era_(read_store_era(http::find_field(answer.head_, dialect_.era_field_)),
-                        call_began_);
+    const auto era = answered ? read_store_era(http::find_field(answer.head_, dialect_.era_field_))
+                              : std::nullopt;
+    if (!events_.on_era_(era, call_began_)) {
+        fail("the answer is of an era of the store that has ended");
+        return;
+    }
+    if (watch && is_from_other_era(state_, era.value_or(0))) {
+        fail("the store came back from an older copy");
+        return;
     }
     if (answered && answer.head_.status_ == http_gone) {
         telemetry::state_change("store_history_gone", {{"kind", kind_}},
@@ -145,22 +160,24 @@
         fail(fmt::format("exchange ended with result {}, HTTP status {}",
                          static_cast<int>(answer.end_), answer.head_.status_));
     }
-    else if (!read(answer, watch)) {
+    else if (!read(answer, watch, era.value_or(0))) {
         fail("cannot parse the response");
     }
 }
 
-bool follower::read(const http::buffered_answer& answer, bool watch)
+bool follower::read(const http::buffered_answer& answer, bool watch, std::uint64_t era)
 {
     if (watch) {
         auto changes = dialect_.read_changes_(answer.body_);
         if (changes) {
+            changes->era_ = era;
             report_update(on_changes(state_, std::move(*changes), loop_.now()));
         }
         return changes.has_value();
     }
     auto page = dialect_.read_list_(answer.body_);
     if (page) {
+        page->era_ = era;
         report_update(on_list_page(state_, std::move(*page), loop_.now()));
     }
     return page.has_value();
--- a/src/directory/follower.hpp
+++ b/src/directory/follower.hpp
@@ -26,8 +26,9 @@
 struct follower_events {
     std::function<void(follow_update)> on_update_;
     std::function<void(store::operation, store::call_status)> on_call_; // for metrics
-    // An answer named this era; `began`: when its call was sent.
-    std::function<void(std::optional<std::uint64_t> era, time_point began)> on_era_;
+    // An answer named this era; `began`: when its call was sent. Returns whether the answer may be
+    // used.
+    std::function<bool(std::optional<std::uint64_t> era, time_point began)> on_era_;
 };
 
 class follower {
@@ -41,9 +42,11 @@
     follower(follower&&) = delete;
     follower& operator=(follower&&) = delete;
 
-    // Starts making calls. Data up to the known revision is not read again; 0: there is none. See
-    // resume_from.
-    void start(std::uint64_t known_revision, std::optional<time_point> failing_since);
+    // Starts making calls. Data up to the known position is not read again. See resume_from.
+    void start(const store_position& known, std::optional<time_point> failing_since);
+
+    // The store names another era, as another source has told: the list is read again at once.
+    void on_store_restored();
 
     // Stops making calls. Data that was received is kept.
     void stop();
@@ -73,7 +76,7 @@
     void call();
     void schedule();
     void on_answer(const http::buffered_answer& answer, bool watch);
-    bool read(const http::buffered_answer& answer, bool watch);
+    bool read(const http::buffered_answer& answer, bool watch, std::uint64_t era);
     void fail(std::string reason);
     void report_update(follow_update update);
 
--- a/src/directory/store_era.hpp
+++ b/src/directory/store_era.hpp
@@ -14,6 +14,14 @@
 // Reads an era; none when the text is not a whole number above 0.
 std::optional<std::uint64_t> read_store_era(std::string_view text);
 
+// A place in the history of the store.
+struct store_position {
+    std::uint64_t era_ = 0;      // 0: not known
+    std::uint64_t revision_ = 0; // 0: none
+
+    friend bool operator==(const store_position&, const store_position&) = default;
+};
+
 struct store_era {
     std::uint64_t value_ = 0; // 0: no answer has named one
     time_point heard_at_{};   // when an answer first named it
--- a/src/directory/stored_object.hpp
+++ b/src/directory/stored_object.hpp
@@ -23,12 +23,14 @@
     std::vector<stored_object> objects_;
     bool more_ = false;          // further pages follow
     std::uint64_t revision_ = 0; // of the store when the page was read
+    std::uint64_t era_ = 0;      // of the store; 0: not named
 };
 
 // What changed since a revision, in order.
 struct change_page {
     std::vector<stored_object> objects_;
     std::uint64_t revision_ = 0; // of the store, to continue from
+    std::uint64_t era_ = 0;      // of the store; 0: not named
 };
 
 } // namespace savoryscale::directory
--- a/src/peer/feed_wire.cpp
+++ b/src/peer/feed_wire.cpp
@@ -105,6 +105,7 @@
     out.set_sequence(page.sequence_);
     out.set_whole(page.complete_);
     out.set_age_ms(clamped_ms(page.age_));
+    out.set_store_era(page.store_era_);
     out.set_targets_revision(page.targets_revision_);
     out.set_configuration_revision(page.configuration_revision_);
     for (const directory::feed_target& target : page.targets_) {
@@ -138,6 +139,7 @@
     page.epoch_ = in.epoch();
     page.sequence_ = in.sequence();
     page.complete_ = in.whole();
+    page.store_era_ = in.store_era();
     page.age_ = milliseconds{in.age_ms()};
     page.targets_revision_ = in.targets_revision();
     page.configuration_revision_ = in.configuration_revision();
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -124,7 +124,7 @@
     for (const int hosts : {3, 30, 300, 1000}) {
         int calls = 0;
         for (int host = 0; host < hosts; ++host) {
-            directory::resume_from(state, 5, std::nullopt);
+            directory::resume_from(state, {0, 5}, std::nullopt);
             time_point at = now;
             while (at < now + 8s) {
                 ++calls;
@@ -220,3 +220,50 @@
     list_all(15);
     CHECK(directory::next_call(state, now).wait_ <= 700ms);
 }
+
+TEST(follow, a_revision_of_another_era_is_taken_for_a_place_in_the_new_history)
+{
+    CHECK(!directory::is_from_other_era(state, 0));
+    directory::on_list_page(state, {{named("a")}, false, 10, 1}, now);
+    CHECK(!directory::is_from_other_era(state, 1));
+    CHECK(!directory::is_from_other_era(state, 0));
+    CHECK(directory::is_from_other_era(state, 2));
+    directory::resume_from(state, {3, 20}, std::nullopt);
+    CHECK(directory::is_from_other_era(state, 4));
+    directory::resume_from(state, {0, 20}, std::nullopt);
+    CHECK(directory::is_from_other_era(state, 4));
+    CHECK(!directory::is_from_other_era(state, 0));
+}
+
+TEST(follow, pages_of_two_eras_are_combined_into_one_list)
+{
+    directory::on_list_page(state, {{named("a")}, true, 10, 1}, now);
+    const auto later = directory::on_list_page(state, {{named("b")}, false, 8, 2}, now);
+    CHECK(!later.complete_);
+    STRCMP_EQUAL("", directory::next_call(state, now).after_.c_str());
+    CHECK(!directory::next_call(state, now).watch_);
+    const auto again = directory::on_list_page(state, {{named("b")}, false, 9, 2}, now);
+    CHECK(again.complete_);
+    LONGS_EQUAL(1, again.objects_.size());
+}
+
+TEST(follow, an_answer_of_an_era_that_has_ended_replaces_newer_data)
+{
+    directory::store_era era;
+    using directory::era_change;
+    CHECK(on_era_heard(era, 1, now, now) == era_change::changed);
+    CHECK(on_era_heard(era, std::nullopt, now, now + 1s) == era_change::none);
+    CHECK(on_era_heard(era, 2, now + 1s, now + 2s) == era_change::changed);
+    CHECK(on_era_heard(era, 1, now + 1s, now + 3s) == era_change::outdated);
+    LONGS_EQUAL(2, era.value_);
+    CHECK(on_era_heard(era, 1, now + 3s, now + 4s) == era_change::changed);
+    LONGS_EQUAL(1, era.value_);
+}
+
+TEST(follow, an_era_that_is_no_number_is_read)
+{
+    LONGS_EQUAL(12, *directory::read_store_era("12"));
+    for (const char* text : {"", "0", "-1", "x", "1x", " 1", "1.5", "99999999999999999999999"}) {
+        CHECK_TEXT(!directory::read_store_era(text).has_value(), text);
+    }
+}
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -24,8 +24,11 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace savoryscale::testing {
 
@@ -67,6 +70,32 @@
 
     [[nodiscard]] int calls() const { return calls_; }
 
+    // Keeps a copy of the objects and the revision, for restore().
+    void keep_copy()
+    {
+        const std::lock_guard lock{mutex_};
+        copy_ = {objects_, revision_};
+    }
+
+    // Comes back from the copy, in the next era. `cut`: ends the calls that wait.
+    void restore(bool cut = true)
+    {
+        const std::lock_guard lock{mutex_};
+        objects_ = copy_.first;
+        revision_ = copy_.second;
+        log_.clear();
+        ++era_;
+        restorations_ += cut ? 1 : 0;
+        changed_.notify_all();
+    }
+
+    // The era that answers name; empty: they name none.
+    void name_era(std::string era)
+    {
+        const std::lock_guard lock{mutex_};
+        named_era_ = std::move(era);
+    }
+
     void remove(const std::string& kind, const std::string& name)
     {
         const std::lock_guard lock{mutex_};
@@ -96,19 +125,42 @@
                 connection.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
+            const int restorations = restorations_;
             const auto kind_at = request.find("/-/objects/") + 11;
             const std::string kind =
                 request.substr(kind_at, request.find_first_of(" ?", kind_at) - kind_at);
             const auto watch = request.find("watch=");
+            const std::uint64_t from =
+                watch == std::string::npos ? 0 : std::stoull(request.substr(watch + 6));
+            if (from > revision()) {
+                connection.send(
+                    fmt::format("HTTP/1.1 410 Gone\r\n{}Content-Length: 0\r\n\r\n", era_field()));
+                continue;
+            }
             const std::string body =
-                watch == std::string::npos
-                    ? list(kind)
-                    : wait(kind, std::stoull(request.substr(watch + 6)), requested_wait(request));
+                watch == std::string::npos ? list(kind) : wait(kind, from, requested_wait(request));
+            if (restorations != restorations_) {
+                connection.close();
+                return;
+            }
             connection.send(is_unavailable() ? "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
-                                             : ok_answer(body));
+                                             : ok_answer(body, era_field()));
         }
     }
 
+    std::uint64_t revision()
+    {
+        const std::lock_guard lock{mutex_};
+        return revision_;
+    }
+
+    std::string era_field()
+    {
+        const std::lock_guard lock{mutex_};
+        const std::string era = named_era_.value_or(std::to_string(era_));
+        return era.empty() ? "" : fmt::format("Store-Era: {}\r\n", era);
+    }
+
     bool is_unavailable()
     {
         const std::lock_guard lock{mutex_};
@@ -137,6 +189,7 @@
     {
         std::unique_lock lock{mutex_};
         nlohmann::json events = nlohmann::json::array();
+        const int before = restorations_;
         changed_.wait_for(lock, longest, [&] {
             events = nlohmann::json::array();
             for (const change& each : log_) {
@@ -144,7 +197,7 @@
                     events.push_back({{"object", each.object_}, {"deleted", each.deleted_}});
                 }
             }
-            return closing_ || unavailable_ || !events.empty();
+            return closing_ || unavailable_ || !events.empty() || restorations_ != before;
         });
         return nlohmann::json{{"events", events}, {"store_revision", revision_}}.dump();
     }
@@ -157,6 +210,10 @@
     std::uint64_t revision_ = 10;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
     std::vector<change> log_;
+    std::pair<std::map<std::string, std::map<std::string, nlohmann::json>>, std::uint64_t> copy_;
+    std::uint64_t era_ = 1;
+    std::optional<std::string> named_era_;
+    std::atomic<int> restorations_ = 0;
     fake_upstream server_; // last: its threads use the members above
 };
 
