Notice that a target has withdrawn its limit

Cause: a host does not probe targets that it gets no grant for, so it does not hear that the limit is gone; with 0.3 requests a second for five hosts that takes many seconds.

Change: of the targets without a grant, the one whose limit was named longest ago is probed if that is over a second ago.

Test: limit_hosts.a_limit_that_was_withdrawn_stays_in_force, which failed before with a 503 three seconds after the withdrawal, and passes now.

--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -16,6 +16,9 @@
 
 constexpr routing::placement_options options;
 
+// Age of a target's limit at which it is probed again although it gets no grant.
+constexpr duration limit_age_max = std::chrono::seconds{1};
+
 routing::grant_wish wish_for(const routing::target_state& target, time_point now)
 {
     return {to_string(target.info_.address_), target.limit_->per_second_,
@@ -97,7 +100,8 @@
     if (!done_) {
         return;
     }
-    const bool excluded = asked_probed_ && service_.view_.targets_[answered.target_].limit_;
+    const bool excluded = service_.view_.targets_[answered.target_].limit_ &&
+                          (asked_probed_ || is_denied(answered.target_));
     if (usable && !excluded) {
         probed_.push_back(answered);
     }
@@ -123,19 +127,30 @@
     }
 }
 
-// Denies the targets that no granter has a grant for now.
+// Denies the targets that no granter has a grant for now, and does not probe them. One whose limit
+// was named long ago is probed all the same, as it may have withdrawn the limit.
 void target_search::deny_ungrantable()
 {
     const auto& targets = service_.view_.targets_;
+    std::optional<routing::target_index> longest_unheard;
     for (routing::target_index index = 0; index < targets.size(); ++index) {
         const routing::target_state& target = targets[index];
         const bool grantable = limited_allowed_ &&
                                http_task_.grants().may_be_granted(to_string(target.info_.address_));
-        if (target.listed_ && target.limit_ && !grantable) {
-            deny(index);
+        if (!target.listed_ || !target.limit_ || grantable) {
+            continue;
+        }
+        deny(index);
+        if (!longest_unheard ||
+            target.limit_->heard_at_ < targets[*longest_unheard].limit_->heard_at_) {
+            longest_unheard = index;
         }
     }
     exclude_.insert(exclude_.end(), denied_targets_.begin(), denied_targets_.end());
+    if (longest_unheard &&
+        started_ - targets[*longest_unheard].limit_->heard_at_ >= limit_age_max) {
+        std::erase(exclude_, *longest_unheard);
+    }
 }
 
 // Probes no more targets that name a limit. One request asks for grants twice at most, as each
--- a/tests/limit_hosts_test.cpp
+++ b/tests/limit_hosts_test.cpp
@@ -44,6 +44,12 @@
 
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
+    void name_limit(std::string limit)
+    {
+        const std::lock_guard lock{mutex_};
+        limit_ = std::move(limit);
+    }
+
     std::vector<time_point> arrivals()
     {
         const std::lock_guard lock{mutex_};
@@ -58,8 +64,7 @@
             if (request.empty()) {
                 return;
             }
-            const std::string limit =
-                limit_.empty() ? std::string{} : fmt::format("X-Limit: {}\r\n", limit_);
+            const std::string limit = limit_field();
             if (request.starts_with("GET /health ")) {
                 connection.send(ok_answer("", "X-Load: 0,0,2,100\r\n" + limit));
                 continue;
@@ -73,6 +78,12 @@
         }
     }
 
+    std::string limit_field()
+    {
+        const std::lock_guard lock{mutex_};
+        return limit_.empty() ? std::string{} : fmt::format("X-Limit: {}\r\n", limit_);
+    }
+
     std::string limit_;
     std::mutex mutex_;
     std::vector<time_point> arrivals_;
@@ -212,3 +223,19 @@
     CHECK(send("look").starts_with("HTTP/1.1 503"));
     CHECK(send("sell").find("done") != std::string::npos);
 }
+
+TEST(limit_hosts, a_limit_that_was_withdrawn_stays_in_force)
+{
+    limited_target target{"0.1"};
+    store.put("servers", "i-1", server_json(target.port()));
+    start_hosts(3);
+    for (auto& host : hosts) {
+        CHECK(host->reaches(1, 1));
+    }
+    send_for(1s);
+    target.name_limit("");
+    send_for(2s);
+    for (const std::string& answer : send_for(500ms)) {
+        CHECK_TEXT(answer.find("done") != std::string::npos, answer.c_str());
+    }
+}
