Let the soak's targets name limits

Half of the targets now name a limit for eight seconds (0.3 to 6 requests a second), and the requests that reach each of them, refused ones too, are checked in every window of 4 s, whatever happens to hosts. The hosts of the feed list themselves, as on the users' platform, so that they grant.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -34,6 +34,7 @@
 CONFIG_S = 1.5
 GRACE_S = 4.0
 FINDINGS_SHOWN = 10
+LIMIT_NOTICE_S = 3.0  # after a target has named a limit; then it is checked
 SETTLE_S = 3.0  # after a disturbance; then the time bounds are checked again
 START_S = 4.0
 FIRST_FAULT_S = DRAIN_S + 1.2  # after the callers start
@@ -56,7 +57,8 @@
         self.log = run.folder / f"host-{number}.log"
 
     def settings(self):
-        peers = [f"{IP}:{host.feed_link.port}" for host in self.run.hosts[:2] if host is not self]
+        peers = [f"{IP}:{self.feed_port if host is self else host.feed_link.port}"
+                 for host in self.run.hosts[:2]]
         return {
             "host": {"id": f"host-{self.number}", "data_centre": "here", "region": "here"},
             "listen": {"address": f"{IP}:{self.port}", "stop_lag_ms": 500, "grace_s": GRACE_S,
@@ -70,7 +72,7 @@
                                       "not_run_header": "X-Not-Run", "retry_ratio": 0.15}},
             "header_names": {"request_id": "X-Id", "caller_sets_request_id": True,
                              "deadline": "X-Deadline", "seal": "X-Seal", "expect_instance": "X-Expect",
-                             "instance": "X-Instance", "load": "X-Load"},
+                             "instance": "X-Instance", "load": "X-Load", "limit": "X-Limit"},
         }
 
     async def start(self):
@@ -277,6 +279,17 @@
         self.store.disturbed_until = max(self.store.disturbed_until, self.now() + SETTLE_S)
         await self.store.drop_history()
 
+    async def inject_limit(self):
+        """Some targets name a limit for a while, which the requests of all hosts together must keep."""
+        some = [each for each in self.random.sample(self.targets, len(self.targets) // 2) if each.limit is None]
+        for target in some:
+            target.limit = self.random.choice([0.3, 1, 2.5, 6])
+        named = self.now()
+        await asyncio.sleep(LIMIT_NOTICE_S + 5)
+        for target in some:
+            self.check_limit(target, named + LIMIT_NOTICE_S)
+            target.limit = None
+
     async def disturb_link(self, host, link):
         seconds = self.random.uniform(0.5, 3)
         how = self.random.choice(["both", "up", "down", "reset", "silence", "delay"])
@@ -368,6 +381,13 @@
             host.store_link.cut = host.feed_link.cut = ""
             host.signal_process(signal.SIGCONT)
 
+    def check_limit(self, target, since):
+        """In any 4 s a target gets at most one and a half times what its limit allows, and 5 requests more."""
+        times = [at for at in target.received if at >= since]
+        most = max((sum(at <= each < at + 4 for each in times) for at in times), default=0)
+        if most > 6 * target.limit + 5:
+            self.add_finding(f"target {target.id} got {most} requests in 4 s with a limit of {target.limit}")
+
     def check_drain(self, target, acknowledged):
         """A target that reported draining gets no new request after DRAIN_S, unless there was a disturbance."""
         disturbance_end = max(self.store.disturbed_until, *(host.disturbed_until for host in self.hosts))
--- a/soak/world.py
+++ b/soak/world.py
@@ -200,6 +200,8 @@
         self.slowdown = 1.0
         self.malformed_ratio = 0.0
         self.error_ratio = 0.0
+        self.limit = None  # requests a second that it takes from all hosts together
+        self.received = []  # times of all requests, refused ones too
         self.running = 0
         self.waiting = 0
         self.runs = []  # (attempt id, time, service, incarnation)
@@ -254,8 +256,9 @@
             writer.transport.abort()
 
     def load(self):
-        return {"X-Load": f"{self.running},{self.waiting},{SLOTS},{int(self.slowdown * 100)}",
-                "X-Instance": self.id}
+        fields = {"X-Load": f"{self.running},{self.waiting},{SLOTS},{int(self.slowdown * 100)}",
+                  "X-Instance": self.id}
+        return fields if self.limit is None else {**fields, "X-Limit": self.limit}
 
     async def answer(self, request, writer):
         first, fields, body = request
@@ -265,6 +268,7 @@
                                  self.load()))
             return True
         attempt = fields["x-id"]
+        self.received.append(asyncio.get_running_loop().time())
         not_run = {"X-Id": attempt, "X-Not-Run": "1", **self.load()}
         if fields.get("x-expect", self.id) != self.id:
             writer.write(message("HTTP/1.1 421 No", not_run))
