Let the soak's store come back from an older copy

It now keeps copies, is away for 0.1 to 1.5 s and comes back from one 0.2 to 4 s old in the next era; revisions are given out again, a watch from one that it does not have gets 410, and the operator and the targets write again.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -279,6 +279,19 @@
         self.store.disturbed_until = max(self.store.disturbed_until, self.now() + SETTLE_S)
         await self.store.drop_history()
 
+    async def inject_restore(self):
+        """The store is away for a moment and comes back from a copy; what was written since is written again."""
+        self.store.disturbed_until = max(self.store.disturbed_until, self.now() + 2 + SETTLE_S)
+        self.store.mode = "down"
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        latest = self.store.objects["config"]["main"]["spec"]
+        await self.store.restore(self.random.uniform(0.2, 4))
+        self.log_event(f"the store is back in era {self.store.era}")
+        self.store.mode = ""
+        known = self.store.objects["config"].get("main", {"spec": {"version": "r0"}})["spec"]["version"]
+        if int(known[1:]) < int(latest["version"][1:]):
+            await self.store.put("config", "main", latest)
+
     async def inject_limit(self):
         """Some targets name a limit for a while, which the requests of all hosts together must keep."""
         some = [each for each in self.random.sample(self.targets, len(self.targets) // 2) if each.limit is None]
--- a/soak/world.py
+++ b/soak/world.py
@@ -108,6 +108,8 @@
         self.log = []
         self.compacted = 0  # changes up to this revision are dropped
         self.mode = ""  # "", "down", "silent", "slow"
+        self.era = 1
+        self.copies = []  # (time, revision, objects), one for each change
         self.changed = asyncio.Condition()
         self.disturbed_until = 0.0
         self.server = None
@@ -127,18 +129,38 @@
             created = known["metadata"]["created"] if known else self.revision
             entry = {"metadata": {"name": name, "revision": self.revision, "created": created},
                      "spec": spec}
+            self.keep_copy()
             self.objects[kind][name] = entry
             self.log.append((self.revision, kind, {"object": entry, "deleted": False}))
             self.changed.notify_all()
 
     async def remove(self, kind, name):
         async with self.changed:
-            entry = self.objects[kind].pop(name, None)
-            if entry:
+            if name in self.objects[kind]:
+                self.keep_copy()
+                entry = self.objects[kind].pop(name)
                 self.revision += 1
                 self.log.append((self.revision, kind, {"object": entry, "deleted": True}))
                 self.changed.notify_all()
 
+    def keep_copy(self):
+        """Keeps the state before a change, for restore()."""
+        objects = {kind: dict(named) for kind, named in self.objects.items()}
+        self.copies.append((asyncio.get_running_loop().time(), self.revision, objects))
+
+    async def restore(self, age_s):
+        """Comes back from a copy of this age, in the next era. Later revisions are given out again."""
+        async with self.changed:
+            wanted = asyncio.get_running_loop().time() - age_s
+            later = [copy for copy in self.copies if copy[0] >= wanted]
+            if later:
+                _, self.revision, self.objects = later[0]
+                self.copies = [copy for copy in self.copies if copy[0] < wanted]
+                self.log = [change for change in self.log if change[0] <= self.revision]
+                self.compacted = min(self.compacted, self.revision)
+            self.era += 1
+            self.changed.notify_all()
+
     async def drop_history(self):
         """Drops the change history and ends the waiting watches."""
         async with self.changed:
@@ -156,7 +178,8 @@
                 status, body = await self.answer(request[0].split()[1])
                 if self.mode == "down":
                     status, body = 503, {}
-                writer.write(message(f"HTTP/1.1 {status} X", {}, json.dumps(body).encode()))
+                writer.write(message(f"HTTP/1.1 {status} X", {"Store-Era": self.era},
+                                     json.dumps(body).encode()))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -171,7 +194,9 @@
             return 200, {"items": list(self.objects[kind].values()), "has_more": False,
                          "store_revision": self.revision}
         after, wait = int(parameters["watch"]), int(parameters["wait_ms"]) / 1000
-        compacted = self.compacted
+        compacted, era = self.compacted, self.era
+        if after > self.revision:
+            return 410, {}
 
         def events():
             return [event for revision, each, event in self.log if revision > after and each == kind]
@@ -179,10 +204,10 @@
         async with self.changed:
             try:
                 await asyncio.wait_for(self.changed.wait_for(
-                    lambda: self.compacted != compacted or self.mode or events()), wait)
+                    lambda: (self.compacted, self.era) != (compacted, era) or self.mode or events()), wait)
             except asyncio.TimeoutError:
                 pass
-            if after < self.compacted:
+            if after < self.compacted or self.era != era:
                 return 410, {}
             return 200, {"events": events(), "store_revision": self.revision}
 
