--- /dev/null
+++ b/src/directory/directory_task_targets.cpp
@@ -0,0 +1,104 @@
+// The part of the directory task that keeps the registry of targets and publishes its changes.
+
+#include "directory/dialect.hpp"
+#include "directory/directory_task.hpp"
+#include "http/event_loop.hpp"
+#include "telemetry/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace savoryscale::directory {
+
+void directory_task::apply_target_list(const std::vector<stored_object>& objects, time_point now)
+{
+    targets_listed_ = true;
+    std::vector<stored_object> oldest_first = objects;
+    std::sort(oldest_first.begin(), oldest_first.end(),
+              [](const auto& one, const auto& two) { return one.created_ < two.created_; });
+    std::vector<target_entry> listed;
+    for (const stored_object& object : oldest_first) {
+        if (auto entry = dialect_.read_target_(object.name_, object.value_)) {
+            listed.push_back(std::move(*entry));
+        }
+        else {
+            log_rejected_entry(object.name_, entry.error());
+        }
+    }
+    on_list(registry_, listed, now);
+}
+
+void directory_task::apply_target_entry(const stored_object& changed, time_point now)
+{
+    if (changed.removed_) {
+        on_removed(registry_, changed.name_, now);
+        return;
+    }
+    if (const auto entry = dialect_.read_target_(changed.name_, changed.value_)) {
+        on_entry(registry_, *entry);
+        return;
+    }
+    else {
+        log_rejected_entry(changed.name_, entry.error());
+    }
+    on_removed(registry_, changed.name_, now);
+}
+
+void directory_task::log_rejected_entry(const std::string& id, const error& reason)
+{
+    if (logged_rejections_.insert(id).second) {
+        telemetry::state_change("target_entry_refused", {{"id", id}, {"why", to_string(reason)}},
+                                telemetry::severity::warning);
+    }
+}
+
+void directory_task::publish_target_changes()
+{
+    constexpr std::array<std::string_view, 3> changes{"joined", "leaving", "gone"};
+    for (const target_event& event : std::exchange(registry_.pending_events_, {})) {
+        const settings::endpoint& address = event.entry_.address_;
+        telemetry::state_change(
+            "target_changed",
+            {{"service", event.entry_.service_},
+             {"target", to_string(address)},
+             {"instance", event.entry_.id_},
+             {"change", std::string{changes[static_cast<std::size_t>(event.change_)]}}});
+    }
+    for (const std::string& service : std::exchange(registry_.changed_services_, {})) {
+        auto targets = targets_of(registry_, service);
+        const auto leaving = std::count_if(targets.begin(), targets.end(),
+                                           [](const auto& info) { return info.leaving_; });
+        telemetry::state_change("targets_changed", {{"service", service},
+                                                    {"targets", std::to_string(targets.size())},
+                                                    {"leaving", std::to_string(leaving)}});
+        events_.on_targets_(service, std::move(targets));
+    }
+    if (update_targets(feed_, registry_, loop_.now())) {
+        server_.answer_readers();
+    }
+}
+
+// A new desired state may add services whose targets were published before the service existed.
+void directory_task::publish_all_targets()
+{
+    for (const auto& [id, known] : registry_.entries_) {
+        registry_.changed_services_.insert(known.entry_.service_);
+    }
+    publish_target_changes();
+}
+
+void directory_task::expire_missing_targets()
+{
+    loop_.cancel(std::exchange(expiry_timer_, 0));
+    const auto next = expire(registry_, loop_.now());
+    publish_target_changes();
+    if (next) {
+        expiry_timer_ = loop_.at(*next, [this] {
+            expiry_timer_ = 0;
+            expire_missing_targets();
+        });
+    }
+}
+
+} // namespace savoryscale::directory
