Look up grants only for targets that name a limit

Each search formatted the address of every target of its service and looked it up, with limits or without: hundreds of strings a request on large sites. A second send could also probe the target of the first one again, if that target's limit was the one heard longest ago.

Change: targets without a limit are passed over first, and a target that was excluded by earlier attempts stays excluded. An unused accessor is removed.

--- a/src/http/grant_search.hpp
+++ b/src/http/grant_search.hpp
@@ -8,7 +8,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string_view>
 #include <vector>
 
 namespace savoryscale::http {
@@ -31,8 +30,6 @@
     // Starts asking; `done` may be called before this returns.
     void start();
 
-    [[nodiscard]] const routing::grant_request& request() const { return request_; }
-
 private:
     void ask_next();
     bool ask(const routing::grant_question& question);
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -135,9 +135,11 @@
     std::optional<routing::target_index> longest_unheard;
     for (routing::target_index index = 0; index < targets.size(); ++index) {
         const routing::target_state& target = targets[index];
-        const bool grantable = limited_allowed_ &&
-                               http_task_.grants().may_be_granted(to_string(target.info_.address_));
-        if (!target.listed_ || !target.limit_ || grantable) {
+        if (!target.listed_ || !target.limit_) {
+            continue;
+        }
+        if (limited_allowed_ &&
+            http_task_.grants().may_be_granted(to_string(target.info_.address_))) {
             continue;
         }
         deny(index);
@@ -146,10 +148,12 @@
             longest_unheard = index;
         }
     }
-    exclude_.insert(exclude_.end(), denied_targets_.begin(), denied_targets_.end());
-    if (longest_unheard &&
-        started_ - targets[*longest_unheard].limit_->heard_at_ >= limit_age_max) {
-        std::erase(exclude_, *longest_unheard);
+    const bool may_be_withdrawn =
+        longest_unheard && started_ - targets[*longest_unheard].limit_->heard_at_ >= limit_age_max;
+    for (const routing::target_index denied : denied_targets_) {
+        if (!may_be_withdrawn || denied != *longest_unheard) {
+            exclude_.push_back(denied);
+        }
     }
 }
 
