--- a/soak/soak.py
+++ b/soak/soak.py
@@ -116,6 +116,7 @@
         self.config_s = CONFIG_S
         self.version = 0
         self.versions = []  # (version, time at which the store acknowledged it)
+        self.publishing = asyncio.Lock()  # a version is numbered once the one before is acknowledged
         self.events = []
         self.findings = []
 
@@ -130,6 +131,10 @@
 
     async def publish(self):
         """Publishes the next desired state, which has a route of its own and the route of the one before."""
+        async with self.publishing:
+            await self.publish_next()
+
+    async def publish_next(self):
         self.version += self.random.randint(1, 3)
         version = len(self.versions) + 1
 
