Show which requests are suspected of crashing targets

Cause: the logs could not tell whether hosts fail to share suspicions, do not take a crash as one, or do not recognise the request. Decisions are unchanged.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -50,6 +50,11 @@
     return call_ != nullptr || header_started_;
 }
 
+std::string_view caller_connection::ip() const
+{
+    return stream_ == nullptr ? std::string_view{} : stream_->peer_ip();
+}
+
 std::size_t caller_connection::queued() const
 {
     return stream_ == nullptr ? 0 : stream_->queued();
--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -37,6 +37,9 @@
     // Closes immediately, so that the caller sees that the answer is incomplete.
     void close_abruptly();
 
+    // Address of the caller, without its port.
+    [[nodiscard]] std::string_view ip() const;
+
     // Bytes of the answer that the kernel has not accepted yet.
     [[nodiscard]] std::size_t queued() const;
 
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -45,6 +45,7 @@
     int descriptor_ = -1;
     bool tls_ = false;
     accept_function accept_;
+    std::string last_peer_ip_; // of the connection accepted last
     std::string certificate_file_;
     std::string key_file_;
 };
@@ -101,6 +102,22 @@
     return listening_socket{descriptor, ntohs(v4->sin_port)}; // same offset for IPv4 and IPv6
 }
 
+// The address without its port; empty for other families than IPv4 and IPv6.
+std::string ip_of(const sockaddr_storage& address)
+{
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    const void* bytes = nullptr;
+    if (address.ss_family == AF_INET) {
+        bytes = &reinterpret_cast<const sockaddr_in&>(address).sin_addr;
+    }
+    else if (address.ss_family == AF_INET6) {
+        bytes = &reinterpret_cast<const sockaddr_in6&>(address).sin6_addr;
+    }
+    const bool converted = bytes != nullptr && ::inet_ntop(address.ss_family, bytes, text.data(),
+                                                           text.size()) != nullptr;
+    return converted ? text.data() : std::string{};
+}
+
 int raw_callback(lws* wsi, lws_callback_reasons reason, void* /*user*/, void* data, size_t length)
 {
     return event_loop::callback(wsi, static_cast<int>(reason), data, length);
@@ -219,11 +236,14 @@
 {
     while (entry.wsi_ != nullptr) {
         lws_sock_file_fd_type descriptor{};
-        descriptor.sockfd =
-            ::accept4(entry.descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        sockaddr_storage peer{};
+        socklen_t length = sizeof peer;
+        descriptor.sockfd = ::accept4(entry.descriptor_, reinterpret_cast<sockaddr*>(&peer),
+                                      &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor.sockfd < 0) {
             return;
         }
+        entry.last_peer_ip_ = ip_of(peer);
         const int yes = 1;
         ::setsockopt(descriptor.sockfd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
         const int type = LWS_ADOPT_SOCKET | (entry.tls_ ? LWS_ADOPT_ALLOW_SSL : 0);
@@ -372,6 +392,13 @@
     accepted->accepted_ = true;
     accepted->connected_ = true;
     ++accepted_;
+    accepted->peer_ip_ = entry->last_peer_ip_;
+    if (entry->tls_) { // adopted after the handshake, when another connection was accepted last
+        sockaddr_storage peer{};
+        socklen_t length = sizeof peer;
+        ::getpeername(lws_get_socket_fd(wsi), reinterpret_cast<sockaddr*>(&peer), &length);
+        accepted->peer_ip_ = ip_of(peer);
+    }
     lws_set_opaque_user_data(wsi, accepted);
     sockets_.emplace(accepted, std::move(owned));
     accepted->set_handler(entry->accept_(*accepted));
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -3,6 +3,7 @@
 #include "http/buffered_exchange.hpp"
 #include "http/caller_connection.hpp"
 #include "http/load_fields.hpp"
+#include "http/log_fields.hpp"
 #include "http/probe_exchange.hpp"
 #include "http/proxied_call.hpp"
 #include "http/socket.hpp"
@@ -232,7 +233,13 @@
 void http_task::merge_suspicion(const peer::fact& suspicion)
 {
     const auto merged = admission::merge(quarantine_, suspicion, loop_.now());
-    (void)merged; // the fact exchange itself forwards what was new
+    if (!merged || *merged) {
+        telemetry::decided("suspicion_received", {},
+                           {{"fingerprint", suspicion.subject_},
+                            {"crashes", suspicion.payload_},
+                            {"outcome", merged ? "merged" : to_string(merged.error())}});
+    }
+    // The fact exchange itself forwards what was new.
 }
 
 admission::verdict http_task::admit(std::string_view customer, const service_state& service)
@@ -336,6 +343,13 @@
 
 void http_task::publish_suspicion(admission::fingerprint request)
 {
+    metrics_.suspects_.Set(static_cast<double>(quarantine_.suspects_.size()));
+    const auto known = admission::suspicion_of(quarantine_, request);
+    telemetry::decided(
+        "suspicion_changed", {},
+        {{"fingerprint", log_fingerprint(request)},
+         {"crashes", known.payload_},
+         {"refused", admission::is_quarantined(quarantine_, request, loop_.now()) ? "yes" : "no"}});
     if (events_.on_suspicion_) {
         events_.on_suspicion_(admission::suspicion_of(quarantine_, request));
     }
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -152,6 +152,7 @@
                        {{"route", route_->name_},
                         {"service", config.name_},
                         {"version", std::to_string(routes_->state_.version_)},
+                        {"caller", std::string{caller_.ip()}},
                         {"left_ms", log_ms(deadline_ - now)}});
     deadline_timer_ = http_task_.loop().at(deadline_, [this] { on_deadline(); });
     if (equal_ignoring_case(find_field(head_, "Expect"), "100-continue")) {
@@ -262,8 +263,7 @@
                                               XXH3_64bits(prefix.data(), prefix.size())});
     if (admission::is_quarantined(http_task_.request_quarantine(), fingerprint_,
                                   http_task_.loop().now())) {
-        refuse({status_unavailable, "not-run",
-                "targets crashed while running this request; change it", std::nullopt, false});
+        refuse_quarantined();
         return;
     }
     if (needs_claim()) {
@@ -274,6 +274,15 @@
     }
 }
 
+void proxied_call::refuse_quarantined()
+{
+    http_task_.metrics().quarantined_requests_.Increment();
+    telemetry::decided("request_quarantined", request_id_,
+                       {{"fingerprint", log_fingerprint(fingerprint_)}});
+    refuse({status_unavailable, "not-run", "targets crashed while running this request; change it",
+            std::nullopt, false});
+}
+
 void proxied_call::dispatch_now()
 {
     execute(dispatch::begin(state_));
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -80,6 +80,7 @@
     friend class attempt_exchange;
 
     void refuse(local_answer refusal);
+    void refuse_quarantined();
     void reject_oversized_body();
     std::size_t replay_limit();
     void dispatch_when_ready();
--- a/src/http/socket.hpp
+++ b/src/http/socket.hpp
@@ -62,6 +62,9 @@
     void pause_reading();
     void resume_reading();
 
+    // Address of the peer without its port; set for accepted connections.
+    [[nodiscard]] const std::string& peer_ip() const { return peer_ip_; }
+
     // Enables TCP keepalive: the kernel probes a silent peer and closes the connection if the
     // peer does not respond.
     void enable_tcp_keepalive();
@@ -93,6 +96,7 @@
     event_loop& loop_;
     socket_handler* handler_;
     lws* wsi_ = nullptr;
+    std::string peer_ip_;
     std::string output_;
     std::size_t sent_ = 0; // bytes of output_ that have been written
     std::uint64_t bytes_written_ = 0;
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -123,6 +123,8 @@
         gauges(registry, "target_limit_granted",
                "Requests to a target that were granted to this host in the last second."),
         counter(registry, "limited_requests_total", "Requests refused for the limits of targets."),
+        counter(registry, "quarantined_requests_total", "Requests refused for crashing targets."),
+        gauge(registry, "suspects", "Requests known to have been in flight at a crash."),
         register_counter_set<decltype(metrics::refusals_)>(registry, "admission_refusals_total",
                                                            "Requests that admission refused.",
                                                            "reason", refusals),
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -71,6 +71,8 @@
     prometheus::Family<prometheus::Gauge>& target_limit_ages_; // seconds
     prometheus::Family<prometheus::Gauge>& target_limit_granted_;
     prometheus::Counter& limited_requests_;
+    prometheus::Counter& quarantined_requests_;
+    prometheus::Gauge& suspects_;
 
     counter_set<admission::refusal, admission::refusal::overload>
         refusals_; // refusal::none is never counted
