--- a/tests/limit_hosts_test.cpp
+++ b/tests/limit_hosts_test.cpp
@@ -4,8 +4,6 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
@@ -22,16 +20,6 @@
 
 namespace {
 
-std::string field(const std::string& message, const std::string& name)
-{
-    const auto at = message.find(name + ": ");
-    if (at == std::string::npos) {
-        return {};
-    }
-    const auto from = at + name.size() + 2;
-    return message.substr(from, message.find('\r', from) - from);
-}
-
 // Names a limit in all its answers, and records when requests arrive.
 class limited_target {
 public:
@@ -73,8 +61,8 @@
                 const std::lock_guard lock{mutex_};
                 arrivals_.push_back(monotonic_now());
             }
-            connection.send(ok_answer(
-                "done", fmt::format("X-Id: {}\r\nX-Seal: s\r\n{}", field(request, "X-Id"), limit)));
+            connection.send(ok_answer("done", fmt::format("X-Id: {}\r\nX-Seal: s\r\n{}",
+                                                          field_of(request, "X-Id"), limit)));
         }
     }
 
@@ -90,14 +78,6 @@
     fake_upstream server_; // last: its threads use the members above
 };
 
-// Unique to this process, so that test runs can overlap.
-settings::endpoint feed_address(int host)
-{
-    const int id = static_cast<int>(getpid());
-    return {fmt::format("127.{}.{}.{}", 1 + (id >> 16) % 250, (id >> 8) % 256, id % 256),
-            static_cast<std::uint16_t>(7731 + host)};
-}
-
 std::size_t most_in(const std::vector<time_point>& arrivals, duration window)
 {
     std::size_t most = 0;
@@ -170,7 +150,7 @@
     for (const std::string& answer : answers) {
         CHECK_TEXT(
             answer.find("done") != std::string::npos ||
-                (answer.starts_with("HTTP/1.1 503") && !field(answer, "Retry-After").empty()),
+                (answer.starts_with("HTTP/1.1 503") && !field_of(answer, "Retry-After").empty()),
             answer.c_str());
     }
 }
--- a/tests/support/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -176,6 +176,15 @@
     }
 }
 
+void fake_upstream::crash()
+{
+    stop_accepting();
+    const std::lock_guard lock{mutex_};
+    for (const int descriptor : descriptors_) {
+        ::shutdown(descriptor, SHUT_RDWR);
+    }
+}
+
 void fake_upstream::accept_all()
 {
     while (true) {
--- a/tests/support/fake_upstream.hpp
+++ b/tests/support/fake_upstream.hpp
@@ -55,6 +55,9 @@
     // Refuses connections from now on.
     void stop_accepting();
 
+    // Refuses connections from now on and closes the open ones. For a single caller.
+    void crash();
+
 private:
     void accept_all();
 
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <prometheus/registry.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -248,6 +249,25 @@
         service, port));
 }
 
+// Address at which a host serves others. Unique to this process, so that test runs can overlap.
+inline settings::endpoint feed_address(int host)
+{
+    const int id = static_cast<int>(getpid());
+    return {fmt::format("127.{}.{}.{}", 1 + (id >> 16) % 250, (id >> 8) % 256, id % 256),
+            static_cast<std::uint16_t>(7731 + host)};
+}
+
+// Value of the first field with this name in a message; empty if there is none.
+inline std::string field_of(const std::string& message, const std::string& name)
+{
+    const auto at = message.find(name + ": ");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto from = at + name.size() + 2;
+    return message.substr(from, message.find('\r', from) - from);
+}
+
 inline settings::settings directory_settings(std::uint16_t store_port)
 {
     settings::settings config;
