Share requests that crash targets between all hosts

Callers saw: a request that crashes targets was sent on by every host that had not seen it crash any; more targets ended. Cause: on the users' platform each host kept its suspicions for itself, so 13 hosts stop after up to 26 crashes. Ruled out: that a single host does not stop; it stops after two when the target closes its connections. Change: a host that sees a crash reports it to the hosts of the feed, which put the crashes of all hosts together and pass on, with the directory, what is to be refused. Reports are batched, bounded and repeated until received. A host of the feed that starts asks the others; its readers report to it again. A crash counts only if another target has answered since or accepts a connection, so that a host that is cut off suspects nobody. The second crash now refuses a request for 8 s and not 600 s: a harmless one that shares two crashes recovers. Refusals have a cause and a Retry-After of their own.

--- a/fuzz/feed_fuzz.cpp
+++ b/fuzz/feed_fuzz.cpp
@@ -5,6 +5,7 @@
 #include "directory/feed_server.hpp"
 #include "peer/feed_wire.hpp"
 #include "peer/grant_wire.hpp"
+#include "peer/suspicion_wire.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -35,6 +36,10 @@
         const auto again = peer::read_grant_path(peer::write_grant_path(*wished));
         require(again && again->wishes_.size() == wished->wishes_.size());
     }
+    if (const auto suspicions = peer::read_suspicions_path(bytes)) {
+        const auto again = peer::read_suspicions_path(peer::write_suspicions_path(*suspicions));
+        require(again && again->size() <= suspicions->size());
+    }
     if (const auto answer = peer::read_grant_answer(bytes)) {
         require(peer::read_grant_answer(peer::write_grant_answer(*answer)) == *answer);
     }
--- a/src/admission/quarantine.cpp
+++ b/src/admission/quarantine.cpp
@@ -38,11 +38,16 @@
     });
 }
 
-void extend(suspect& suspect, time_point now)
+// `longest`: what a peer's news of it allows.
+void extend(suspect& suspect, time_point now, duration longest = duration::max())
 {
-    const bool confirmed = uncleared_crashes(suspect) >= crashes_until_refused;
-    const time_point until = now + (confirmed ? refusal_lifetime : suspicion_lifetime);
-    suspect.expires_at_ = std::max(suspect.expires_at_, until);
+    const std::uint32_t crashes = uncleared_crashes(suspect);
+    const duration refusal = crashes >= crashes_until_confirmed ? duration{refusal_lifetime}
+                             : crashes >= crashes_until_refused ? duration{short_refusal_lifetime}
+                                                                : duration::zero();
+    suspect.refused_until_ = std::max(suspect.refused_until_, now + std::min(refusal, longest));
+    const duration lifetime = std::min<duration>(refusal + suspicion_lifetime, longest);
+    suspect.expires_at_ = std::max(suspect.expires_at_, now + lifetime);
 }
 
 // Makes room for one suspect: evicts all expired ones, or else the one that expires next.
@@ -205,7 +210,7 @@
 }
 
 std::vector<fingerprint> on_target_crashed(quarantine& quarantine, std::string_view target,
-                                           time_point now)
+                                           time_point now, std::string_view shared_name)
 {
     std::vector<fingerprint> raised;
     const auto running = quarantine.running_.find(target);
@@ -214,7 +219,7 @@
     }
     for (const auto& one : running->second) {
         suspect& suspect = suspect_at(quarantine, one.request_, now);
-        add_crash(suspect, target, one.started_at_, now);
+        add_crash(suspect, shared_name, one.started_at_, now);
         extend(suspect, now);
         if (std::find(raised.begin(), raised.end(), one.request_) == raised.end()) {
             raised.push_back(one.request_);
@@ -224,6 +229,12 @@
     return raised;
 }
 
+bool is_suspect(const quarantine& quarantine, fingerprint request, time_point now)
+{
+    const suspect* known = find_suspect(quarantine, request, now);
+    return known != nullptr && uncleared_crashes(*known) > 0;
+}
+
 bool is_quarantined(const quarantine& quarantine, fingerprint request, time_point now)
 {
     const suspect* known = find_suspect(quarantine, request, now);
@@ -231,7 +242,15 @@
         return false;
     }
     const std::uint32_t crashes = uncleared_crashes(*known);
-    return crashes >= crashes_until_refused || (crashes > 0 && is_running(quarantine, request));
+    return (crashes >= crashes_until_refused && now < known->refused_until_) ||
+           (crashes > 0 && is_running(quarantine, request));
+}
+
+duration refusal_left(const quarantine& quarantine, fingerprint request, time_point now)
+{
+    const suspect* known = find_suspect(quarantine, request, now);
+    return known == nullptr ? duration::zero()
+                            : std::max(duration::zero(), known->refused_until_ - now);
 }
 
 bool runs_other_suspect(const quarantine& quarantine, fingerprint request, std::string_view target,
@@ -284,9 +303,48 @@
         changed |= merge_crash(suspect, one, now);
     }
     if (changed) {
-        extend(suspect, now);
+        extend(suspect, now, std::chrono::seconds{received.lifetime_s_});
     }
     return changed;
 }
 
+std::optional<fingerprint> fingerprint_of(const peer::fact& suspicion)
+{
+    return parse_fingerprint(suspicion.subject_);
+}
+
+bool is_valid(const peer::fact& suspicion)
+{
+    return suspicion.kind_ == peer::fact_kind::suspicion && parse_fingerprint(suspicion.subject_) &&
+           parse_crashes(suspicion.payload_);
+}
+
+bool concerns_all_hosts(const peer::fact& suspicion)
+{
+    const auto crashes = parse_crashes(suspicion.payload_);
+    return crashes && crashes->size() >= crashes_until_refused;
+}
+
+peer::fact shared_suspicion_of(const quarantine& quarantine, fingerprint request, time_point now)
+{
+    peer::fact suspicion = suspicion_of(quarantine, request);
+    const suspect* known = find_suspect(quarantine, request, now);
+    const auto left = known == nullptr
+                          ? std::chrono::seconds::zero()
+                          : std::chrono::ceil<std::chrono::seconds>(known->expires_at_ - now);
+    suspicion.lifetime_s_ = static_cast<std::uint32_t>(left.count());
+    return suspicion;
+}
+
+std::vector<fingerprint> suspects_at(const quarantine& quarantine, time_point now)
+{
+    std::vector<fingerprint> all;
+    for (const auto& [request, suspect] : quarantine.suspects_) {
+        if (now < suspect.expires_at_ && uncleared_crashes(suspect) > 0) {
+            all.push_back(request);
+        }
+    }
+    return all;
+}
+
 } // namespace savoryscale::admission
--- a/src/admission/quarantine.hpp
+++ b/src/admission/quarantine.hpp
@@ -2,7 +2,8 @@
 
 // Stops requests that crash the targets that run them. Requests in flight at a crash are suspects.
 // Until a completed run clears it, a suspect has one attempt at a time, at a target that runs no
-// other suspect. It is refused after a second crash.
+// other suspect. After a second crash it is refused for some seconds and may then run once more,
+// since a harmless request can share two crashes; after a third it is refused for minutes.
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
@@ -10,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,10 +33,15 @@
 fingerprint fingerprint_of(const request_identity&);
 
 inline constexpr std::uint32_t crashes_until_refused = 2;
+inline constexpr std::uint32_t crashes_until_confirmed = 3;
 inline constexpr std::size_t suspects_max = 4096;
 inline constexpr std::size_t crashes_kept_max = 16; // per suspect; cleared ones are evicted first
 inline constexpr std::chrono::seconds suspicion_lifetime{120};
-inline constexpr std::chrono::seconds refusal_lifetime{600};
+inline constexpr std::chrono::seconds refusal_lifetime{600}; // once confirmed
+
+// Refusal after the second crash. Long enough for the news to reach every host and for the crashed
+// targets to be back.
+inline constexpr std::chrono::seconds short_refusal_lifetime{8};
 
 // One crash with the request in flight. Its name is the target's name and a count, so that two
 // crashes of one target differ, and two hosts that saw the same crash use the same name.
@@ -45,6 +52,7 @@
 
 struct suspect {
     std::map<std::string, crash, std::less<>> crashes_; // by name
+    time_point refused_until_{};
     time_point expires_at_{};
 };
 
@@ -60,20 +68,32 @@
 };
 
 // Call when an attempt is sent and when it has ended. `target` names address and incarnation.
-// `finished` means that the target gave a complete answer, which clears a suspect; the return value
-// is whether one was cleared, so that the peers can be notified.
+// `finished` means that the target ran the request and gave a complete answer, which clears a
+// suspect; the return value is whether one was cleared, so that the peers can be notified.
 void on_request_sent(quarantine&, fingerprint, std::string_view target, time_point now);
 bool on_request_ended(quarantine&, fingerprint, std::string_view target, bool finished);
 
 // The target crashed: every request in flight there becomes a suspect. Returns them; send the peers
 // the suspicion_of each. Call this before reporting the end of those attempts, which then has no
-// effect.
-std::vector<fingerprint> on_target_crashed(quarantine&, std::string_view target, time_point now);
-
-// Whether the request must be refused as not run: two targets crashed with it in flight, or one did
-// and another attempt of it is in flight here.
+// effect. `shared_name`: of the target, the same on all hosts.
+std::vector<fingerprint> on_target_crashed(quarantine&, std::string_view target, time_point now,
+                                           std::string_view shared_name);
+inline std::vector<fingerprint> on_target_crashed(quarantine& quarantine, std::string_view target,
+                                                  time_point now)
+{
+    return on_target_crashed(quarantine, target, now, target);
+}
+
+// Whether the request must be refused as not run: two targets crashed with it in flight not long
+// ago, or one did and another attempt of it is in flight here.
 bool is_quarantined(const quarantine&, fingerprint, time_point now);
 
+// How long a quarantined request is refused at least.
+duration refusal_left(const quarantine&, fingerprint, time_point now);
+
+// Whether the request is suspected now.
+bool is_suspect(const quarantine&, fingerprint, time_point now);
+
 // Whether the target already runs another suspect sent by this host. Two suspects must not share a
 // target, since a crash would confirm both.
 bool runs_other_suspect(const quarantine&, fingerprint, std::string_view target, time_point now);
@@ -81,6 +101,22 @@
 // The suspicion as a fact for the peers. Its version counts crashes, cleared ones twice.
 peer::fact suspicion_of(const quarantine&, fingerprint);
 
+// The fingerprint that a suspicion is about; none if its subject is malformed.
+std::optional<fingerprint> fingerprint_of(const peer::fact& suspicion);
+
+// Whether the fact is a suspicion that merge() takes.
+bool is_valid(const peer::fact& suspicion);
+
+// Whether peers that serve no others need the suspicion: it has, or had, enough crashes to refuse
+// the request.
+bool concerns_all_hosts(const peer::fact& suspicion);
+
+// The same as suspicion_of, with the time that the suspicion still lasts.
+peer::fact shared_suspicion_of(const quarantine&, fingerprint, time_point now);
+
+// The requests that are suspected now.
+std::vector<fingerprint> suspects_at(const quarantine&, time_point now);
+
 // Merges a suspicion received from a peer. Returns whether anything changed; the merged suspicion
 // must then be forwarded. Merging is commutative and idempotent. A malformed fact is an error.
 result<bool> merge(quarantine&, const peer::fact&, time_point now);
--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -172,7 +172,7 @@
     if (feeds && config_.directory_->feed_ && read->directory_->feed_->hosts_ != peers_) {
         peers_ = read->directory_->feed_->hosts_;
         directory_->set_peers(peers_);
-        http_task_->grants().set_granters(peers_, config_.directory_->feed_->address_);
+        http_task_->set_feed_hosts(peers_);
     }
 }
 
@@ -196,6 +196,9 @@
         loop_->stop();
     };
     events.on_tick_ = [] { telemetry::flush_log(); };
+    events.on_suspicion_ = [this](const peer::fact& suspicion) {
+        directory_->share_suspicion(suspicion);
+    };
     return events;
 }
 
@@ -218,8 +221,14 @@
     events.on_store_era_ = [this](std::uint64_t era) {
         metrics_.store_era_.Set(static_cast<double>(era));
     };
-    events.on_grant_request_ = [this](std::string_view path) {
-        return http_task_->grants().answer(path);
+    events.on_peer_request_ = [this](std::string_view path) {
+        return http_task_->answer_peer(path);
+    };
+    events.on_suspicions_ = [this](const std::vector<peer::fact>& suspicions) {
+        http_task_->receive_suspicions(suspicions);
+    };
+    events.on_peer_started_ = [this](const std::string& peer) {
+        http_task_->suspicion_reports().report_all(peer);
     };
     events.on_peers_lost_ = [this] { reread_settings(); };
     return events;
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -106,7 +106,7 @@
                    check_sources();
                },
                [this] { return is_complete() ? as_of(source_) : std::nullopt; },
-               events_.on_grant_request_}}
+               events_.on_peer_request_}}
 {
     pool_.enable_tcp_keepalive();
     feed_.epoch_ = random_() | 1U; // 0 is the position of a reader that has no data
@@ -297,6 +297,7 @@
         std::max(feed_.configuration_revision_, page.configuration_revision_);
     feed_.targets_revision_ = page.targets_revision_;
     feed_.store_era_ = page.store_era_;
+    const bool peer_started = position_.epoch_ != page.epoch_;
     position_ = {page.epoch_, page.sequence_, version_};
     targets_listed_ = true;
     const time_point confirmed_at = now - page.age_;
@@ -308,10 +309,22 @@
         store_down_since_.reset();
     }
     apply_page_targets(page, now);
+    if (!page.suspicions_.empty() && events_.on_suspicions_) {
+        events_.on_suspicions_(page.suspicions_);
+    }
+    if (peer_started && events_.on_peer_started_) {
+        events_.on_peer_started_(client_.peer_name());
+    }
     after_update();
     return true;
 }
 
+void directory_task::share_suspicion(const peer::fact& suspicion)
+{
+    update_suspicion(feed_, suspicion, loop_.now());
+    server_.answer_readers();
+}
+
 void directory_task::apply_page_targets(const feed_page& page, time_point now)
 {
     if (page.complete_) {
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -37,7 +37,11 @@
     std::function<void(store::operation, store::call_status)> on_store_call_;
     std::function<void(std::uint64_t era)> on_store_era_; // the store names another era
     std::function<void()> on_peers_lost_; // newer settings may list other peers; see set_peers
-    std::function<http::page(std::string_view path)> on_grant_request_; // of another host
+    // Another host's request that is not about the directory.
+    std::function<http::page(std::string_view path)> on_peer_request_;
+    std::function<void(const std::vector<peer::fact>&)> on_suspicions_; // from a peer
+    // This host reads from a peer ("ip:port") that it has not read from since that was started.
+    std::function<void(const std::string& peer)> on_peer_started_;
 };
 
 class directory_task {
@@ -58,6 +62,12 @@
     // Sets the hosts to request data from, after the settings have changed.
     void set_peers(const std::vector<settings::endpoint>& hosts);
 
+    // Passes a suspicion on to the hosts that read from this one.
+    void share_suspicion(const peer::fact& suspicion);
+
+    // Whether this host is one that the others read from.
+    [[nodiscard]] bool is_configured_source() const { return source_.is_configured_source_; }
+
     // Whether a desired state and the list of targets are known.
     [[nodiscard]] bool is_complete() const { return version_ > 0 && targets_listed_; }
 
--- a/src/directory/feed.cpp
+++ b/src/directory/feed.cpp
@@ -3,6 +3,7 @@
 #include "directory/registry.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace savoryscale::directory {
@@ -20,6 +21,15 @@
     ++known.epoch_;
 }
 
+// In seconds, rounded up.
+std::uint32_t lifetime_left(const feed_suspicion& suspicion, time_point now)
+{
+    const duration left =
+        suspicion.updated_at_ - now + duration{std::chrono::seconds{suspicion.fact_.lifetime_s_}};
+    return static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::seconds>(left).count()));
+}
+
 } // namespace
 
 bool update_targets(feed& known, const registry& all, time_point now)
@@ -48,6 +58,18 @@
     return known.sequence_ != before;
 }
 
+void update_suspicion(feed& known, const peer::fact& suspicion, time_point now)
+{
+    auto& all = known.suspicions_;
+    std::erase_if(all, [now](const auto& item) { return lifetime_left(item.second, now) == 0; });
+    if (all.size() >= feed_suspicions_max && all.find(suspicion.subject_) == all.end()) {
+        all.erase(std::min_element(all.begin(), all.end(), [](const auto& one, const auto& other) {
+            return one.second.sequence_ < other.second.sequence_;
+        }));
+    }
+    all[suspicion.subject_] = {suspicion, ++known.sequence_, now};
+}
+
 void set_store_era(feed& known, std::uint64_t era)
 {
     known.store_era_ = era;
@@ -98,6 +120,13 @@
             std::max(duration::zero(), item->entry_.warm_up_ - (now - item->updated_at_));
         page.targets_.push_back(std::move(target));
     }
+    for (const auto& [subject, suspicion] : known.suspicions_) {
+        const std::uint32_t left = lifetime_left(suspicion, now);
+        if (left > 0 && (page.complete_ || suspicion.sequence_ > reader.sequence_)) {
+            page.suspicions_.push_back(suspicion.fact_);
+            page.suspicions_.back().lifetime_s_ = left;
+        }
+    }
     return page;
 }
 
--- a/src/directory/feed.hpp
+++ b/src/directory/feed.hpp
@@ -22,11 +22,21 @@
     bool gone_ = false;
 };
 
+// A request that crashed targets, for all hosts.
+struct feed_suspicion {
+    peer::fact fact_; // its lifetime counts from `updated_at_`
+    std::uint64_t sequence_ = 0;
+    time_point updated_at_{};
+};
+
+inline constexpr std::size_t feed_suspicions_max = 256;
+
 struct feed {
     std::uint64_t epoch_ = 0; // starts as a random number, drawn when the host starts
     std::uint64_t sequence_ = 0;
     std::map<std::string, feed_item, std::less<>> items_; // by id of the target
     std::size_t gone_count_ = 0;
+    std::map<std::string, feed_suspicion> suspicions_; // by subject, at most feed_suspicions_max
     std::uint64_t version_ = 0;
     std::string document_;
     std::uint64_t store_era_ = 0; // in which the revisions count; 0: not known
@@ -37,6 +47,9 @@
 // Records the changes among the targets. Returns whether there are any.
 bool update_targets(feed&, const registry&, time_point now);
 
+// Records a new or changed suspicion. The one that changed longest ago makes room.
+void update_suspicion(feed&, const peer::fact&, time_point now);
+
 // The store names another era: revisions of the last one mean nothing in it.
 void set_store_era(feed&, std::uint64_t era);
 
--- a/src/directory/feed_page.hpp
+++ b/src/directory/feed_page.hpp
@@ -5,6 +5,7 @@
 
 #include "base/clock.hpp"
 #include "directory/target_entry.hpp"
+#include "peer/fact.hpp"
 
 #include <cstdint>
 #include <string>
@@ -28,6 +29,7 @@
     std::vector<feed_target> targets_;         // oldest first
     std::uint64_t version_ = 0;                // of the desired state
     std::string document_; // the desired state as stored; empty: the reader already has it
+    std::vector<peer::fact> suspicions_; // changed since the reader's position
 };
 
 // The position in the feed up to which a reader has the data.
--- a/src/directory/feed_server.cpp
+++ b/src/directory/feed_server.cpp
@@ -3,7 +3,6 @@
 #include "directory/feed.hpp"
 #include "http/event_loop.hpp"
 #include "peer/feed_wire.hpp"
-#include "peer/grant_wire.hpp"
 
 #include <fmt/format.h>
 
@@ -76,8 +75,8 @@
 
 void feed_server::on_request(std::string_view path, const http::page_reply& reply)
 {
-    if (events_.on_grant_request_ && path.starts_with(peer::grant_path_prefix)) {
-        reply(events_.on_grant_request_(path));
+    if (events_.on_peer_request_ && !path.starts_with(path_prefix)) {
+        reply(events_.on_peer_request_(path));
         return;
     }
     const auto position = read_feed_path(path);
--- a/src/directory/feed_server.hpp
+++ b/src/directory/feed_server.hpp
@@ -24,8 +24,9 @@
 
 struct feed_server_events {
     std::function<void()> on_request_;
-    std::function<std::optional<time_point>()> as_of_;                  // none: no data yet
-    std::function<http::page(std::string_view path)> on_grant_request_; // see peer/grant_wire.hpp
+    std::function<std::optional<time_point>()> as_of_; // none: no data yet
+    // Answers a path that does not ask for the directory.
+    std::function<http::page(std::string_view path)> on_peer_request_;
 };
 
 class feed_server {
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -25,6 +25,9 @@
 // answer are noticed first.
 constexpr duration reuse_delay = 2ms;
 
+// A target that runs accepts a connection in milliseconds.
+constexpr duration check_timeout = 300ms;
+
 // After surplus bytes from a target, none of its connections are reused for this long.
 constexpr duration no_reuse_time = 10s;
 
@@ -36,7 +39,10 @@
 {
 }
 
-connection_pool::~connection_pool() = default;
+connection_pool::~connection_pool()
+{
+    loop_.cancel(check_timer_);
+}
 
 std::deque<upstream_connection*>::iterator connection_pool::find_usable(bool verified,
                                                                         time_point now)
@@ -145,18 +151,26 @@
         done(true);
         return;
     }
-    on_checked_ = std::move(done);
+    checks_.push_back(std::move(done));
+    if (checks_.size() > 1) {
+        return;
+    }
     if (open(nullptr) == nullptr) {
         report_check(false);
         return;
     }
     ++pending_idle_;
+    check_timer_ = loop_.after(check_timeout, [this] {
+        check_timer_ = 0;
+        report_check(false);
+    });
 }
 
 void connection_pool::report_check(bool accepts)
 {
-    if (on_checked_) {
-        std::exchange(on_checked_, {})(accepts);
+    loop_.cancel(std::exchange(check_timer_, 0));
+    for (const auto& done : std::exchange(checks_, {})) {
+        done(accepts);
     }
 }
 
--- a/src/http/connection_pool.hpp
+++ b/src/http/connection_pool.hpp
@@ -3,6 +3,7 @@
 // The connections of this host to one target, limited in number by a cap.
 
 #include "base/clock.hpp"
+#include "http/timer_queue.hpp"
 #include "settings/settings.hpp"
 
 #include <cstddef>
@@ -13,6 +14,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace savoryscale::http {
 
@@ -58,7 +60,8 @@
     void ensure_idle_connection();
 
     // Opens a connection to find out whether the target still accepts any, and reports it to
-    // `done`. When the cap is reached, it reports true without opening one.
+    // `done`; one that does not open in time counts as refused. When the cap is reached, it reports
+    // true without opening one.
     void check(std::function<void(bool accepts)> done);
 
     // Closes all idle connections; for a target that takes no new requests.
@@ -109,9 +112,10 @@
     bool keep_alive_ = false;
     time_point no_reuse_until_{};
     std::unordered_map<upstream_connection*, std::unique_ptr<upstream_connection>> connections_;
-    std::deque<upstream_connection*> idle_; // longest idle first
-    std::size_t pending_idle_ = 0;          // connections being opened without an exchange
-    std::function<void(bool)> on_checked_;  // set while a check is in progress
+    std::deque<upstream_connection*> idle_;         // longest idle first
+    std::size_t pending_idle_ = 0;                  // connections being opened without an exchange
+    std::vector<std::function<void(bool)>> checks_; // in progress
+    timer_id check_timer_ = 0;
     pool_counters counters_;
 };
 
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -3,7 +3,6 @@
 #include "http/buffered_exchange.hpp"
 #include "http/caller_connection.hpp"
 #include "http/load_fields.hpp"
-#include "http/log_fields.hpp"
 #include "http/probe_exchange.hpp"
 #include "http/proxied_call.hpp"
 #include "http/socket.hpp"
@@ -61,7 +60,9 @@
       admission_{admission::make_state(1.0 / config.host_.hosts_max_)},
       inbox_{[&loop] { loop.wake(); }},
       request_id_prefix_{fmt::format("{}-{:x}-", config.host_.id_, random_())},
-      grants_{loop, random_}
+      grants_{loop, random_},
+      suspicion_reports_{loop, random_, quarantine_,
+                         [this](std::span<const peer::fact> known) { receive_suspicions(known); }}
 {
     body_memory_.max_ = std::size_t{config_.listen_.body_memory_mb_} << 20U;
     limits_.max_header_bytes_ = config_.listen_.max_header_bytes_;
@@ -70,7 +71,7 @@
     if (config_.directory_) {
         const auto& feed = config_.directory_->feed_;
         if (feed && !feed->hosts_.empty()) {
-            grants_.set_granters(feed->hosts_, feed->address_);
+            set_feed_hosts(feed->hosts_);
         }
         else {
             grants_.set_alone(config_.host_.hosts_max_);
@@ -230,18 +231,6 @@
     }
 }
 
-void http_task::merge_suspicion(const peer::fact& suspicion)
-{
-    const auto merged = admission::merge(quarantine_, suspicion, loop_.now());
-    if (!merged || *merged) {
-        telemetry::decided("suspicion_received", {},
-                           {{"fingerprint", suspicion.subject_},
-                            {"crashes", suspicion.payload_},
-                            {"outcome", merged ? "merged" : to_string(merged.error())}});
-    }
-    // The fact exchange itself forwards what was new.
-}
-
 admission::verdict http_task::admit(std::string_view customer, const service_state& service)
 {
     if (config_.directory_) {
@@ -290,69 +279,8 @@
             }
         }
     }
-    connections_of(service, target).pool_->close_idle();
-}
-
-// A connection could not be opened. If a connection to the target has just broken with a request in
-// flight, the target has crashed.
-void http_task::on_connection_refused(service_state& service, routing::target_index target)
-{
-    if (!connections_of(service, target).broken_requests_.empty()) {
-        on_crash_checked(service, target, false);
-    }
-}
-
-// A connection broke with a request in flight. Opens a new connection to find out whether the
-// target has crashed; until the result is known, the request counts as running there.
-void http_task::on_connection_broken(service_state& service, routing::target_index target,
-                                     admission::fingerprint request)
-{
-    target_connections& connections = connections_of(service, target);
-    connections.broken_requests_.push_back(request);
-    if (std::exchange(connections.check_in_progress_, true)) {
-        return;
-    }
-    connections.pool_->check(
-        [this, &service, target](bool accepts) { on_crash_checked(service, target, accepts); });
-}
-
-void http_task::on_crash_checked(service_state& service, routing::target_index target, bool accepts)
-{
     target_connections& connections = connections_of(service, target);
-    connections.check_in_progress_ = false;
-    if (!accepts) {
-        telemetry::state_change(
-            "target_crashed", {{"service", service.config_.name_}, {"target", connections.name_}});
-        for (const admission::fingerprint suspect :
-             admission::on_target_crashed(quarantine_, connections.name_, loop_.now())) {
-            publish_suspicion(suspect);
-        }
-    }
-    for (const admission::fingerprint request : std::exchange(connections.broken_requests_, {})) {
-        admission::on_request_ended(quarantine_, request, connections.name_, false);
-    }
-}
-
-void http_task::on_upstream_request_ended(admission::fingerprint request, std::string_view target,
-                                          bool finished)
-{
-    if (admission::on_request_ended(quarantine_, request, target, finished)) {
-        publish_suspicion(request);
-    }
-}
-
-void http_task::publish_suspicion(admission::fingerprint request)
-{
-    metrics_.suspects_.Set(static_cast<double>(quarantine_.suspects_.size()));
-    const auto known = admission::suspicion_of(quarantine_, request);
-    telemetry::decided(
-        "suspicion_changed", {},
-        {{"fingerprint", log_fingerprint(request)},
-         {"crashes", known.payload_},
-         {"refused", admission::is_quarantined(quarantine_, request, loop_.now()) ? "yes" : "no"}});
-    if (events_.on_suspicion_) {
-        events_.on_suspicion_(admission::suspicion_of(quarantine_, request));
-    }
+    connections.pool_->close_idle();
 }
 
 const admission::body_memory& http_task::measured_body_memory()
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -12,7 +12,9 @@
 #include "dispatch/call.hpp"
 #include "http/event_loop.hpp"
 #include "http/limit_grants.hpp"
+#include "http/page_server.hpp"
 #include "http/service_state.hpp"
+#include "http/suspicion_reports.hpp"
 #include "peer/fact.hpp"
 #include "plans/lists.hpp"
 #include "routes/split.hpp"
@@ -27,6 +29,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -67,6 +70,13 @@
     prometheus::Gauge* granted_ = nullptr;
 };
 
+// What a check of a target that broke a connection has shown.
+enum class crash_verdict : std::uint8_t {
+    alive,
+    crashed,
+    cut_off, // this host reaches no target
+};
+
 class http_task {
 public:
     http_task(event_loop& loop, const settings::settings& config, const telemetry::metrics& metrics,
@@ -96,7 +106,18 @@
     // This host's share of "probes/SERVICE" or "probe_bytes/SERVICE": `amount` per second until
     // `until`, then `later`.
     void set_share(const std::string& resource, double amount, time_point until, double later);
-    void merge_suspicion(const peer::fact& suspicion);
+    // Returns whether anything changed.
+    bool merge_suspicion(const peer::fact& suspicion);
+
+    // Suspicions from another host of the directory. Returns the requests for which anything
+    // changed; the hosts that read from this one have been told of them.
+    std::vector<admission::fingerprint> receive_suspicions(std::span<const peer::fact> suspicions);
+
+    // The hosts that serve others with the directory, with grants and with suspicions.
+    void set_feed_hosts(std::span<const settings::endpoint> hosts);
+
+    // Answers another host's request for a grant, or its report of suspicions.
+    page answer_peer(std::string_view path);
 
     // Stops gracefully: keeps accepting for stop_lag_, until the balancer in front has noticed, and
     // answers with Connection: close; then closes idle connections and waits for the busy ones.
@@ -144,6 +165,7 @@
     void on_limit_field(service_state& service, routing::target_index target,
                         const answer_head& head, routing::limit_source source);
     [[nodiscard]] limit_grants& grants() { return grants_; }
+    [[nodiscard]] class suspicion_reports& suspicion_reports() { return suspicion_reports_; }
     // The limit that the target named last; null: none. Valid until the next answer.
     static const routing::target_limit* limit_of(const service_state& service,
                                                  routing::target_index target);
@@ -152,6 +174,9 @@
                               admission::fingerprint request);
     void on_upstream_request_ended(admission::fingerprint request, std::string_view target,
                                    bool finished);
+    // Whether it is known why the request's connection to the target broke.
+    [[nodiscard]] bool is_crash_checked(const service_state& service, routing::target_index target,
+                                        admission::fingerprint request) const;
     // Submits a call to the object API and returns its id. The reply goes to on_claim_reply of
     // `requester`, unless ignore_object_reply was called with the id before. Null `requester`: the
     // reply is ignored.
@@ -165,6 +190,12 @@
     [[nodiscard]] const telemetry::metrics& metrics() const { return metrics_; }
 
 private:
+    // Targets to which this host tries to open connections.
+    struct witness_choice {
+        std::vector<connection_pool*> pools_;
+        bool others_broken_ = false; // there are others, which broke connections as well
+    };
+
     target_connections& connections_of(service_state& service, routing::target_index target);
     service_state* find_service(std::string_view name);
     service_state& add_service(settings::service config);
@@ -174,7 +205,13 @@
                          const buffered_answer& answer, const probe_function& done);
     void apply_targets(service_state& service);
     void on_crash_checked(service_state& service, routing::target_index target, bool accepts);
-    void publish_suspicion(admission::fingerprint request);
+    void ask_witnesses(service_state& service, routing::target_index target);
+    witness_choice choose_witnesses(const service_state& service, routing::target_index target);
+    void end_crash_check(service_state& service, routing::target_index target,
+                         crash_verdict verdict);
+    void publish_suspicions(const std::vector<admission::fingerprint>& requests);
+    void share_suspicion(admission::fingerprint request);
+    [[nodiscard]] std::string known_suspicions() const;
     void tick();
     void probe_targets();
     void report_load_to_admission();
@@ -211,6 +248,8 @@
     time_point invalid_limit_logged_at_{};
     std::map<std::string, limit_gauges> limit_gauges_; // by address of the target
     limit_grants grants_;
+    class suspicion_reports suspicion_reports_;
+    bool serves_hosts_ = false; // other hosts read from this one
     bool stopping_ = false;
     bool stop_lag_over_ = false;
 };
--- a/src/http/http_task_services.cpp
+++ b/src/http/http_task_services.cpp
@@ -5,12 +5,32 @@
 #include "routing/policy.hpp"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace savoryscale::http {
 
+namespace {
+
+std::string target_name_of(const routing::target_info& info)
+{
+    return fmt::format("{}/{}", to_string(info.address_), info.incarnation_);
+}
+
+// Incarnations are counted by each host for itself, ids are the same on all hosts.
+std::string shared_target_name_of(const routing::target_info& info)
+{
+    if (info.id_.empty()) {
+        return target_name_of(info);
+    }
+    return fmt::format("{}/{:08x}", to_string(info.address_),
+                       XXH32(info.id_.data(), info.id_.size(), 0));
+}
+
+} // namespace
+
 service_state& http_task::add_service(settings::service config)
 {
     auto owned = std::make_unique<service_state>();
@@ -95,17 +115,19 @@
         const auto info = std::find_if(all.begin(), all.end(), [&](const auto& candidate) {
             return candidate.address_ == address;
         });
-        if (info == all.end() || info->leaving_) {
-            connections.pool_->close_idle();
+        const bool gone = info == all.end();
+        std::string name = gone ? std::string{} : target_name_of(*info);
+        if (name != connections.name_) {
+            connections.pool_->close_idle(); // they lead to the previous server at this address
+        }
+        if (gone) {
+            continue;
         }
-        else {
-            std::string name =
-                fmt::format("{}:{}/{}", address.ip_, address.port_, info->incarnation_);
-            if (name != connections.name_) {
-                connections.pool_->close_idle(); // they lead to the previous server at this address
-            }
-            connections.name_ = std::move(name);
+        if (info->leaving_) {
+            connections.pool_->close_idle();
         }
+        connections.shared_name_ = shared_target_name_of(*info);
+        connections.name_ = std::move(name);
     }
 }
 
@@ -122,8 +144,11 @@
         const auto info =
             std::find_if(service.listed_.begin(), service.listed_.end(),
                          [&](const auto& candidate) { return candidate.address_ == address; });
-        const std::uint64_t incarnation = info == service.listed_.end() ? 0 : info->incarnation_;
-        connections.name_ = fmt::format("{}:{}/{}", address.ip_, address.port_, incarnation);
+        routing::target_info unlisted;
+        unlisted.address_ = address;
+        const routing::target_info& known = info == service.listed_.end() ? unlisted : *info;
+        connections.name_ = target_name_of(known);
+        connections.shared_name_ = shared_target_name_of(known);
     }
     return connections;
 }
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -29,6 +29,10 @@
 // Delay before answering a caller whose request broke a connection, so that a suspicion reaches the
 // other hosts before the caller can resend the request through them.
 constexpr duration suspicion_propagation_time = 50ms;
+constexpr duration crash_check_interval = 5ms;
+
+// Retry-After of a suspect while another attempt of it is in progress.
+constexpr duration suspect_retry_after = 200ms;
 
 // Length of the body prefix that goes into the fingerprint by which a crashing request is
 // recognised.
@@ -279,8 +283,10 @@
     http_task_.metrics().quarantined_requests_.Increment();
     telemetry::decided("request_quarantined", request_id_,
                        {{"fingerprint", log_fingerprint(fingerprint_)}});
+    const duration left = admission::refusal_left(http_task_.request_quarantine(), fingerprint_,
+                                                  http_task_.loop().now());
     refuse({status_unavailable, "not-run", "targets crashed while running this request; change it",
-            std::nullopt, false});
+            std::max(left, suspect_retry_after), false});
 }
 
 void proxied_call::dispatch_now()
@@ -302,13 +308,7 @@
             note_progress();
             break;
         case dispatch::action_kind::answer:
-            if (state_.broken_count_ > 0 && http_task_.has_peers()) {
-                answer_timer_ = http_task_.loop().after(suspicion_propagation_time,
-                                                        [this, item] { answer(item); });
-            }
-            else {
-                answer(item);
-            }
+            answer_after_crash_checks(item, http_task_.loop().now() + suspicion_propagation_time);
             return;
         case dispatch::action_kind::close_caller:
             telemetry::decided(
@@ -323,6 +323,30 @@
     }
 }
 
+// A caller whose request may have crashed a target is answered once the other hosts can know of it.
+void proxied_call::answer_after_crash_checks(const dispatch::action& decided, time_point latest)
+{
+    const time_point now = http_task_.loop().now();
+    const bool waits = state_.broken_count_ > 0 && http_task_.has_peers() && now < latest &&
+                       (has_unchecked_crash() ||
+                        admission::is_suspect(http_task_.request_quarantine(), fingerprint_, now));
+    if (!waits) {
+        answer(decided);
+        return;
+    }
+    answer_timer_ = http_task_.loop().after(crash_check_interval, [this, decided, latest] {
+        answer_after_crash_checks(decided, latest);
+    });
+}
+
+bool proxied_call::has_unchecked_crash() const
+{
+    return std::any_of(exchanges_.begin(), exchanges_.end(), [this](const attempt_exchange& one) {
+        return one.pool_ != nullptr &&
+               !http_task_.is_crash_checked(*service_, one.target_, fingerprint_);
+    });
+}
+
 // Answers the caller with the outcome that dispatch decided.
 void proxied_call::answer(const dispatch::action& decided)
 {
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -90,6 +90,8 @@
     void apply_claim_action(const dispatch::claim_action& action);
     void release_claim();
     void execute(const dispatch::actions& todo);
+    void answer_after_crash_checks(const dispatch::action& decided, time_point latest);
+    [[nodiscard]] bool has_unchecked_crash() const;
     void answer(const dispatch::action& decided);
     void open_attempt(dispatch::attempt_id id);
     upstream_connection* acquire_target(attempt_exchange& attempt);
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -19,8 +19,11 @@
 struct target_connections {
     std::unique_ptr<connection_pool> pool_;
     std::string name_;                                    // address and incarnation
+    std::string shared_name_;                             // the same on all hosts
     std::vector<admission::fingerprint> broken_requests_; // until the crash check ends
+    time_point broken_at_{};                              // the first of them
     bool check_in_progress_ = false;
+    bool witnesses_asked_ = false;
 };
 
 struct service_state {
--- a/src/peer/feed_wire.cpp
+++ b/src/peer/feed_wire.cpp
@@ -1,5 +1,7 @@
 #include "peer/feed_wire.hpp"
 
+#include "admission/quarantine.hpp"
+#include "directory/feed.hpp"
 #include "peer/compression.hpp"
 #include "peer/feed.pb.h"
 
@@ -18,6 +20,7 @@
 constexpr std::size_t desired_state_max_bytes = std::size_t{2} << 20U;
 constexpr int targets_max = 20'000;
 constexpr std::size_t name_max_bytes = 256;
+constexpr std::uint32_t suspicion_lifetime_max_s = 3600;
 
 // Longer times make no difference to readers.
 constexpr milliseconds time_max{3'600'000};
@@ -80,6 +83,20 @@
     return target;
 }
 
+// Skips suspicions that cannot be read: they must not keep the directory from being followed.
+std::vector<fact> read_suspicions(const wire::FeedPage& in)
+{
+    std::vector<fact> all;
+    for (const wire::Suspicion& each : in.suspicions()) {
+        fact suspicion{fact_kind::suspicion, each.request(), 0, each.crashes(),
+                       std::min(each.lifetime_s(), suspicion_lifetime_max_s)};
+        if (all.size() < directory::feed_suspicions_max && admission::is_valid(suspicion)) {
+            all.push_back(std::move(suspicion));
+        }
+    }
+    return all;
+}
+
 result<std::string> read_document(const wire::FeedPage& in)
 {
     if (in.desired_state().size() > desired_state_max_bytes ||
@@ -111,6 +128,12 @@
     for (const directory::feed_target& target : page.targets_) {
         write_target(target, *out.add_targets());
     }
+    for (const fact& suspicion : page.suspicions_) {
+        wire::Suspicion& written = *out.add_suspicions();
+        written.set_request(suspicion.subject_);
+        written.set_crashes(suspicion.payload_);
+        written.set_lifetime_s(suspicion.lifetime_s_);
+    }
     out.set_version(page.version_);
     if (page.document_.size() < compress_min_bytes) {
         out.set_desired_state(page.document_);
@@ -145,6 +168,7 @@
     page.configuration_revision_ = in.configuration_revision();
     page.version_ = in.version();
     page.document_ = std::move(*document);
+    page.suspicions_ = read_suspicions(in);
     for (const wire::Target& each : in.targets()) {
         auto target = read_target(each);
         if (!target) {
--- a/src/peer/grant_wire.cpp
+++ b/src/peer/grant_wire.cpp
@@ -1,5 +1,7 @@
 #include "peer/grant_wire.hpp"
 
+#include "base/text.hpp"
+
 #include <fmt/format.h>
 
 #include <charconv>
@@ -25,24 +27,6 @@
             "run the same release on all entry hosts"};
 }
 
-// Removes the text up to the separator, or all of it, from the front of `rest`.
-std::string_view take_until(std::string_view& rest, char separator)
-{
-    const std::size_t end = std::min(rest.find(separator), rest.size());
-    const std::string_view taken = rest.substr(0, end);
-    rest.remove_prefix(std::min(end + 1, rest.size()));
-    return taken;
-}
-
-template<class Number>
-std::optional<Number> read_number(std::string_view text, Number max)
-{
-    Number value{};
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool whole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
-    return whole && value >= Number{} && value <= max ? std::optional{value} : std::nullopt;
-}
-
 std::int64_t whole_ms(duration time)
 {
     return std::clamp<std::int64_t>(std::chrono::ceil<milliseconds>(time).count(), 0, time_max_ms);
--- a/tests/crashing_request_hosts_test.cpp
+++ b/tests/crashing_request_hosts_test.cpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <memory>
@@ -18,7 +19,10 @@
 
 namespace {
 
-// Crashes, for good, when it gets a request with "crash" in its path.
+// What the targets do at a request with "crash" in its path.
+enum class behaviour : std::uint8_t { crashes, fails, answers };
+
+// Crashes for good at such a request, and falls silent at one with "silence" in its path.
 class fragile_target {
 public:
     explicit fragile_target(std::atomic<int>& crashes)
@@ -40,6 +44,17 @@
 
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
+    void crash()
+    {
+        if (!crashed_.exchange(true)) {
+            crasher_ = std::thread{[this] { server_.crash(); }};
+        }
+    }
+
+    [[nodiscard]] bool is_silent() const { return silent_; }
+
+    void set_behaviour(behaviour mode) { mode_ = mode; }
+
 private:
     void serve(script_connection& connection)
     {
@@ -49,25 +64,40 @@
                 return;
             }
             if (request.starts_with("GET /health ")) {
+                if (silent_) {
+                    continue;
+                }
                 connection.send(ok_answer("", "X-Load: 0,0,2,100\r\n"));
                 continue;
             }
-            if (request.find("crash") != std::string::npos) {
-                if (!crashed_.exchange(true)) {
-                    ++crashes_;
-                    crasher_ = std::thread{[this] { server_.crash(); }};
-                }
+            if (request.find("crash") != std::string::npos && mode_ == behaviour::crashes) {
+                crashes_ += crashed_ ? 0 : 1;
+                crash();
+                connection.wait_for_close();
+                return;
+            }
+            if (silent_ || request.find("silence") != std::string::npos) {
+                crashes_ += silent_.exchange(true) ? 0 : 1;
                 connection.wait_for_close();
                 return;
             }
+            if (request.find("slow") != std::string::npos) {
+                std::this_thread::sleep_for(300ms);
+            }
             std::this_thread::sleep_for(20ms);
-            connection.send(ok_answer(
-                "done", fmt::format("X-Id: {}\r\nX-Seal: s\r\n", field_of(request, "X-Id"))));
+            const std::string fields =
+                fmt::format("X-Id: {}\r\nX-Seal: s\r\n", field_of(request, "X-Id"));
+            connection.send(
+                mode_ == behaviour::fails
+                    ? fmt::format("HTTP/1.1 500 No\r\n{}Content-Length: 0\r\n\r\n", fields)
+                    : ok_answer("done", fields));
         }
     }
 
     std::atomic<int>& crashes_;
     std::atomic<bool> crashed_ = false;
+    std::atomic<bool> silent_ = false;
+    std::atomic<behaviour> mode_ = behaviour::crashes;
     std::thread crasher_;
     fake_upstream server_;
 };
@@ -112,10 +142,17 @@
         }
     }
 
-    std::string send(std::size_t host, const std::string& path)
+    void set_behaviour(behaviour mode)
+    {
+        for (auto& target : targets) {
+            target->set_behaviour(mode);
+        }
+    }
+
+    std::string send(std::size_t host, const std::string& path, std::uint8_t from = 1)
     {
-        static int id = 0;
-        test_client caller{hosts[host]->port()};
+        static std::atomic<int> id = 0;
+        test_client caller{hosts[host]->port(), 0, from};
         caller.send(
             fmt::format("GET {} HTTP/1.1\r\nHost: a.example\r\nX-Id: {}\r\n\r\n", path, ++id));
         return caller.read_answer();
@@ -133,3 +170,84 @@
     STRCMP_CONTAINS("not-run", send(4, "/sell/crash").c_str());
     STRCMP_CONTAINS("done", send(4, "/sell/7").c_str());
 }
+
+TEST(crashing_request_hosts, a_repeatable_request_that_crashes_targets_is_sent_on_by_other_hosts)
+{
+    start(5, 16);
+    for (std::size_t i = 0; i < 4 * hosts.size(); ++i) {
+        send(i % hosts.size(), "/look/crash");
+    }
+    CHECK_TEXT(crashes <= 3, fmt::format("{} targets crashed", crashes.load()).c_str());
+}
+
+TEST(crashing_request_hosts, a_host_that_starts_later_sends_on_a_request_that_crashed_targets)
+{
+    start(4, 12);
+    while (crashes < 2) {
+        send(3, "/sell/crash");
+    }
+    hosts.push_back(std::make_unique<running_routed_host>(host_settings(4)));
+    CHECK(hosts.back()->reaches(1, targets.size()));
+    STRCMP_CONTAINS("not-run", send(4, "/sell/crash").c_str());
+    LONGS_EQUAL(2, crashes.load());
+}
+
+TEST(crashing_request_hosts, a_host_of_the_feed_that_starts_anew_sends_on_such_a_request)
+{
+    start(5, 12);
+    while (crashes < 2) {
+        send(4, "/sell/crash");
+    }
+    for (std::size_t restarted = 0; restarted < 3; ++restarted) {
+        hosts[restarted].reset();
+        hosts[restarted] =
+            std::make_unique<running_routed_host>(host_settings(static_cast<int>(restarted)));
+        CHECK(hosts[restarted]->reaches(1, targets.size()));
+    }
+    std::this_thread::sleep_for(1500ms); // the readers have found the hosts again
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        STRCMP_CONTAINS("not-run", send(host, "/sell/crash").c_str());
+    }
+    LONGS_EQUAL(2, crashes.load());
+}
+
+TEST(crashing_request_hosts, requests_in_flight_at_a_host_that_is_cut_off_are_suspected)
+{
+    start(4, 6);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 8; ++i) {
+        callers.emplace_back([this, i] { send(3, fmt::format("/sell/slow{}", i)); });
+    }
+    std::this_thread::sleep_for(150ms);
+    for (auto& target : targets) {
+        target->crash(); // to the host the same as a cut
+    }
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    std::this_thread::sleep_for(500ms);
+    hosts[3]->run([](http::http_task& task) {
+        LONGS_EQUAL(0, admission::suspects_at(task.request_quarantine(), monotonic_now()).size());
+    });
+}
+
+TEST(crashing_request_hosts, a_request_in_flight_beside_one_that_crashes_targets_is_refused)
+{
+    start(3, 6);
+    std::atomic<bool> over = false;
+    std::atomic<int> refused = 0;
+    std::thread neighbour{[&] {
+        while (!over) {
+            refused += send(1, "/look/slow").find("crashed") != std::string::npos ? 1 : 0;
+        }
+    }};
+    for (int i = 0; i < 3; ++i) {
+        std::this_thread::sleep_for(100ms);
+        send(0, "/sell/crash");
+    }
+    std::this_thread::sleep_for(700ms);
+    over = true;
+    neighbour.join();
+    LONGS_EQUAL(0, refused.load());
+    STRCMP_CONTAINS("done", send(1, "/look/slow").c_str());
+}
--- a/tests/support/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -202,7 +202,7 @@
     }
 }
 
-test_client::test_client(std::uint16_t port, int receive_bytes)
+test_client::test_client(std::uint16_t port, int receive_bytes, std::uint8_t host)
     : descriptor_{::socket(AF_INET, SOCK_STREAM, 0)}
 {
     if (receive_bytes > 0) {
@@ -210,7 +210,12 @@
     }
     const timeval longest_read{30, 0}; // a test that waits longer has failed
     ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &longest_read, sizeof longest_read);
+    sockaddr_in own = loopback(0);
+    own.sin_addr.s_addr = htonl(0x7f000000U | host);
     const sockaddr_in address = loopback(port);
+    if (::bind(descriptor_, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0) {
+        throw std::runtime_error{"test client cannot bind"};
+    }
     if (::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
         throw std::runtime_error{"test client cannot connect"};
     }
--- a/tests/support/fake_upstream.hpp
+++ b/tests/support/fake_upstream.hpp
@@ -74,8 +74,9 @@
 // A blocking client connection to loopback.
 class test_client {
 public:
-    // `receive_bytes` sets the size of the kernel's receive buffer; 0 keeps the default.
-    explicit test_client(std::uint16_t port, int receive_bytes = 0);
+    // `receive_bytes` sets the size of the kernel's receive buffer; 0 keeps the default. `host` is
+    // the last byte of the client's own address, 127.0.0.HOST.
+    explicit test_client(std::uint16_t port, int receive_bytes = 0, std::uint8_t host = 1);
     ~test_client();
     test_client(const test_client&) = delete;
     test_client& operator=(const test_client&) = delete;
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -303,8 +303,12 @@
     explicit running_routed_host(settings::settings config) : config_{std::move(config)}
     {
         loop_ = std::move(http::event_loop::make(256, http::tls_support::no)).value();
-        http_task_ = std::make_unique<http::http_task>(*loop_, config_, metrics_, 1,
-                                                       http::http_task_events{});
+        http::http_task_events http_events;
+        http_events.on_suspicion_ = [this](const peer::fact& suspicion) {
+            directory_->share_suspicion(suspicion);
+        };
+        http_task_ =
+            std::make_unique<http::http_task>(*loop_, config_, metrics_, 1, std::move(http_events));
         directory::directory_events events;
         events.on_desired_state_ = [this](routes::desired_state state) {
             http_task_->set_desired_state(std::move(state));
@@ -314,8 +318,14 @@
             http_task_->set_targets(service, std::move(targets));
         };
         events.on_store_call_ = [](store::operation, store::call_status) {};
-        events.on_grant_request_ = [this](std::string_view path) {
-            return http_task_->grants().answer(path);
+        events.on_peer_request_ = [this](std::string_view path) {
+            return http_task_->answer_peer(path);
+        };
+        events.on_suspicions_ = [this](const std::vector<peer::fact>& suspicions) {
+            http_task_->receive_suspicions(suspicions);
+        };
+        events.on_peer_started_ = [this](const std::string& peer) {
+            http_task_->suspicion_reports().report_all(peer);
         };
         directory_ = std::make_unique<directory::directory_task>(
             *loop_, *config_.directory_, platform::dialect(), config_.host_.id_, 2,
