Take a target that is replaced while requests are unanswered as crashed

Cause: a crash was seen only when a connection broke in flight and a new one was refused. A target that falls silent, or is back before the check, left no suspicion, so that a request that does this was sent on without end. Ruled out: the entry of a target that announces that it leaves, or is emptied, is no sign of a crash and is left out. Change: requests that got no answer are remembered for 15 s; when another server takes the target's place unannounced, they are suspected. Result: a_target_that_falls_silent_and_is_replaced_leaves_no_suspicion, red before (504 in place of a refusal), is green.

--- a/src/admission/quarantine.cpp
+++ b/src/admission/quarantine.cpp
@@ -108,6 +108,8 @@
 
 bool clear(quarantine& quarantine, fingerprint request)
 {
+    std::erase_if(quarantine.unanswered_,
+                  [request](const auto& one) { return one.run_.request_ == request; });
     const auto found = quarantine.suspects_.find(request);
     if (found == quarantine.suspects_.end() || uncleared_crashes(found->second) == 0) {
         return false;
@@ -209,6 +211,26 @@
     return finished && clear(quarantine, request);
 }
 
+void on_request_unanswered(quarantine& quarantine, fingerprint request, std::string_view target,
+                           time_point now)
+{
+    auto& unanswered = quarantine.unanswered_;
+    while (!unanswered.empty() && (unanswered.size() >= unanswered_max ||
+                                   now - unanswered.front().ended_at_ >= unanswered_lifetime)) {
+        unanswered.pop_front();
+    }
+    const auto running = quarantine.running_.find(target);
+    if (running == quarantine.running_.end()) {
+        return;
+    }
+    for (const running_request& one : running->second) {
+        if (one.request_ == request) {
+            unanswered.push_back({one, std::string{target}, now});
+            return;
+        }
+    }
+}
+
 std::vector<fingerprint> on_target_crashed(quarantine& quarantine, std::string_view target,
                                            time_point now, std::string_view shared_name)
 {
@@ -229,6 +251,19 @@
     return raised;
 }
 
+std::vector<fingerprint> on_target_replaced(quarantine& quarantine, std::string_view target,
+                                            time_point now, std::string_view shared_name)
+{
+    std::erase_if(quarantine.unanswered_, [&](const unanswered_request& one) {
+        const bool lost_here = one.target_ == target;
+        if (lost_here && now - one.ended_at_ < unanswered_lifetime) {
+            quarantine.running_[std::string{target}].push_back(one.run_);
+        }
+        return lost_here;
+    });
+    return on_target_crashed(quarantine, target, now, shared_name);
+}
+
 bool is_suspect(const quarantine& quarantine, fingerprint request, time_point now)
 {
     const suspect* known = find_suspect(quarantine, request, now);
--- a/src/admission/quarantine.hpp
+++ b/src/admission/quarantine.hpp
@@ -10,6 +10,7 @@
 #include "peer/fact.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,7 +22,8 @@
 // Equal for a request and its resends, through any host.
 using fingerprint = std::uint64_t;
 
-// The parts that identify a request. `body_digest_` is a hash of the first bytes of the body.
+// The parts that identify a request. `customer_`: the customer, or else the address of the caller.
+// `body_digest_` is a hash of the first bytes of the body.
 struct request_identity {
     std::string_view method_;
     std::string_view path_;
@@ -43,6 +45,11 @@
 // targets to be back.
 inline constexpr std::chrono::seconds short_refusal_lifetime{8};
 
+// A request that was sent and got no answer is remembered this long, for a target that turns out to
+// have been replaced in the meantime: the time until the store has noticed that a target is gone.
+inline constexpr std::chrono::seconds unanswered_lifetime{15};
+inline constexpr std::size_t unanswered_max = 1024;
+
 // One crash with the request in flight. Its name is the target's name and a count, so that two
 // crashes of one target differ, and two hosts that saw the same crash use the same name.
 struct crash {
@@ -62,9 +69,17 @@
     time_point started_at_{};
 };
 
+// An attempt that ended without an answer.
+struct unanswered_request {
+    running_request run_;
+    std::string target_;
+    time_point ended_at_{};
+};
+
 struct quarantine {
     std::map<fingerprint, suspect> suspects_; // at most suspects_max
     std::map<std::string, std::vector<running_request>, std::less<>> running_; // by target
+    std::deque<unanswered_request> unanswered_; // at most unanswered_max, oldest first
 };
 
 // Call when an attempt is sent and when it has ended. `target` names address and incarnation.
@@ -73,6 +88,9 @@
 void on_request_sent(quarantine&, fingerprint, std::string_view target, time_point now);
 bool on_request_ended(quarantine&, fingerprint, std::string_view target, bool finished);
 
+// Call before on_request_ended when the attempt got no answer and it is not known why.
+void on_request_unanswered(quarantine&, fingerprint, std::string_view target, time_point now);
+
 // The target crashed: every request in flight there becomes a suspect. Returns them; send the peers
 // the suspicion_of each. Call this before reporting the end of those attempts, which then has no
 // effect. `shared_name`: of the target, the same on all hosts.
@@ -84,6 +102,11 @@
     return on_target_crashed(quarantine, target, now, target);
 }
 
+// Another server has taken the target's place, and the target had not announced that it would
+// leave: the same as a crash, also for the requests that recently got no answer.
+std::vector<fingerprint> on_target_replaced(quarantine&, std::string_view target, time_point now,
+                                            std::string_view shared_name);
+
 // Whether the request must be refused as not run: two targets crashed with it in flight not long
 // ago, or one did and another attempt of it is in flight here.
 bool is_quarantined(const quarantine&, fingerprint, time_point now);
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -280,6 +280,7 @@
         }
     }
     target_connections& connections = connections_of(service, target);
+    connections.leaving_ = true;
     connections.pool_->close_idle();
 }
 
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -70,6 +70,13 @@
     prometheus::Gauge* granted_ = nullptr;
 };
 
+// How an attempt that was sent ended.
+enum class upstream_end : std::uint8_t {
+    completed,  // the target ran the request and answered
+    unanswered, // no answer arrived
+    other,      // cancelled, refused, or answered with an error
+};
+
 // What a check of a target that broke a connection has shown.
 enum class crash_verdict : std::uint8_t {
     alive,
@@ -173,7 +180,7 @@
     void on_connection_broken(service_state& service, routing::target_index target,
                               admission::fingerprint request);
     void on_upstream_request_ended(admission::fingerprint request, std::string_view target,
-                                   bool finished);
+                                   upstream_end end);
     // Whether it is known why the request's connection to the target broke.
     [[nodiscard]] bool is_crash_checked(const service_state& service, routing::target_index target,
                                         admission::fingerprint request) const;
@@ -209,6 +216,7 @@
     witness_choice choose_witnesses(const service_state& service, routing::target_index target);
     void end_crash_check(service_state& service, routing::target_index target,
                          crash_verdict verdict);
+    void on_target_replaced(const target_connections& before);
     void publish_suspicions(const std::vector<admission::fingerprint>& requests);
     void share_suspicion(admission::fingerprint request);
     [[nodiscard]] std::string known_suspicions() const;
--- a/src/http/http_task_crashes.cpp
+++ b/src/http/http_task_crashes.cpp
@@ -227,6 +227,7 @@
              {"why", "other targets do not accept connections from this host either"}});
     }
     for (const admission::fingerprint request : broken) {
+        admission::on_request_unanswered(quarantine_, request, connections.name_, loop_.now());
         admission::on_request_ended(quarantine_, request, connections.name_, false);
     }
 }
@@ -242,10 +243,20 @@
     return std::find(broken.begin(), broken.end(), request) == broken.end();
 }
 
+// Another server has taken the place of a target that had not announced that it would leave.
+void http_task::on_target_replaced(const target_connections& before)
+{
+    publish_suspicions(
+        admission::on_target_replaced(quarantine_, before.name_, loop_.now(), before.shared_name_));
+}
+
 void http_task::on_upstream_request_ended(admission::fingerprint request, std::string_view target,
-                                          bool finished)
+                                          upstream_end end)
 {
-    if (admission::on_request_ended(quarantine_, request, target, finished)) {
+    if (end == upstream_end::unanswered) {
+        admission::on_request_unanswered(quarantine_, request, target, loop_.now());
+    }
+    if (admission::on_request_ended(quarantine_, request, target, end == upstream_end::completed)) {
         publish_suspicions({request});
     }
 }
--- a/src/http/http_task_services.cpp
+++ b/src/http/http_task_services.cpp
@@ -118,12 +118,17 @@
         const bool gone = info == all.end();
         std::string name = gone ? std::string{} : target_name_of(*info);
         if (name != connections.name_) {
+            if (!connections.leaving_) {
+                on_target_replaced(connections);
+            }
+            connections.leaving_ = gone;     // reported once
             connections.pool_->close_idle(); // they lead to the previous server at this address
         }
         if (gone) {
             continue;
         }
         if (info->leaving_) {
+            connections.leaving_ = true;
             connections.pool_->close_idle();
         }
         connections.shared_name_ = shared_target_name_of(*info);
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -298,7 +298,10 @@
         http_task_.on_connection_broken(*service_, attempt.target_, fingerprint_);
     }
     else if (attempt.connected_) {
-        http_task_.on_upstream_request_ended(fingerprint_, attempt.target_name_, finished);
+        const upstream_end upstream = finished               ? upstream_end::completed
+                                      : attempt.status_ == 0 ? upstream_end::unanswered
+                                                             : upstream_end::other;
+        http_task_.on_upstream_request_ended(fingerprint_, attempt.target_name_, upstream);
     }
     http_task_.metrics().attempts_[end].Increment();
     telemetry::decided("attempt_ended", request_id_,
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -20,6 +20,7 @@
     std::unique_ptr<connection_pool> pool_;
     std::string name_;                                    // address and incarnation
     std::string shared_name_;                             // the same on all hosts
+    bool leaving_ = false;                                // it has announced that it leaves
     std::vector<admission::fingerprint> broken_requests_; // until the crash check ends
     time_point broken_at_{};                              // the first of them
     bool check_in_progress_ = false;
--- a/tests/crashing_request_hosts_test.cpp
+++ b/tests/crashing_request_hosts_test.cpp
@@ -251,3 +251,26 @@
     LONGS_EQUAL(0, refused.load());
     STRCMP_CONTAINS("done", send(1, "/look/slow").c_str());
 }
+
+TEST(crashing_request_hosts, a_target_that_falls_silent_and_is_replaced_leaves_no_suspicion)
+{
+    start(1, 3);
+    const auto silent = [&] {
+        return std::count_if(targets.begin(), targets.end(),
+                             [](const auto& target) { return target->is_silent(); });
+    };
+    for (int i = 0; i < 2; ++i) {
+        STRCMP_CONTAINS(" 504 ", send(0, "/sell/silence").c_str());
+        for (std::size_t at = 0; at < targets.size(); ++at) {
+            if (targets[at]->is_silent()) {
+                auto replaced = server_json(targets[at]->port());
+                replaced["born"] = 1000 + i;
+                store.put("servers", fmt::format("i-{}", at), replaced);
+            }
+        }
+        std::this_thread::sleep_for(2s);
+    }
+    LONGS_EQUAL(2, silent());
+    STRCMP_CONTAINS("not-run", send(0, "/sell/silence").c_str());
+    LONGS_EQUAL(2, silent());
+}
