Do not take an error of a target as a completed run of a suspect

Cause: any complete answer cleared a suspect, also a 500 that a failing target gives without running the request. Change: only an answer below 500 clears it. Result: an_error_of_a_target_clears_a_request_that_crashes_targets, red before (a third target crashes), is green.

--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -298,7 +298,8 @@
         http_task_.on_connection_broken(*service_, attempt.target_, fingerprint_);
     }
     else if (attempt.connected_) {
-        const upstream_end upstream = finished               ? upstream_end::completed
+        const upstream_end upstream = finished && attempt.status_ < status_server_error
+                                          ? upstream_end::completed
                                       : attempt.status_ == 0 ? upstream_end::unanswered
                                                              : upstream_end::other;
         http_task_.on_upstream_request_ended(fingerprint_, attempt.target_name_, upstream);
