Tell requests that crash targets apart by their callers

Cause: without a customer header, as on the users' platform, the fingerprint had no caller, so another caller's completed run of the same path and body cleared the suspicion, or that caller was refused with it. Change: the caller's address stands in for the customer where none is named. Result: another_callers_run_clears_a_request_that_crashes_targets, red before (a third target crashes), is green.

--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -262,7 +262,8 @@
     }
     dispatched_ = true;
     const std::string_view prefix = std::string_view{body_}.substr(0, fingerprint_bytes);
-    fingerprint_ = admission::fingerprint_of({head_.method_, head_.target_, customer_,
+    const std::string_view caller = customer_.empty() ? caller_.ip() : customer_;
+    fingerprint_ = admission::fingerprint_of({head_.method_, head_.target_, caller,
                                               find_field(head_, idempotency_key_field),
                                               XXH3_64bits(prefix.data(), prefix.size())});
     if (admission::is_quarantined(http_task_.request_quarantine(), fingerprint_,
--- a/tests/crashing_request_hosts_test.cpp
+++ b/tests/crashing_request_hosts_test.cpp
@@ -264,6 +264,18 @@
     LONGS_EQUAL(2, crashes.load());
 }
 
+TEST(crashing_request_hosts, another_callers_run_clears_a_request_that_crashes_targets)
+{
+    start(1, 8);
+    send(0, "/sell/crash");
+    set_behaviour(behaviour::answers);
+    STRCMP_CONTAINS("done", send(0, "/sell/crash", 2).c_str());
+    set_behaviour(behaviour::crashes);
+    send(0, "/sell/crash");
+    STRCMP_CONTAINS("not-run", send(0, "/sell/crash").c_str());
+    LONGS_EQUAL(2, crashes.load());
+}
+
 TEST(crashing_request_hosts, a_target_that_falls_silent_and_is_replaced_leaves_no_suspicion)
 {
     start(1, 3);
