Let the soak send requests that crash targets

Cause: no test of processes played such a request beside cuts, kills and pauses of hosts. Change: a caller sends it 40 times through any host; at most three crashes and three more are allowed, and two more for each host that is started meanwhile. A crashed target's address refuses connections, as a machine's does; before, the proxy in front of it accepted and closed them.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -24,7 +24,7 @@
 import time
 
 from callers import Callers
-from world import IP, Proxy, Store, Target
+from world import IP, KILLER_PATH, Proxy, Store, Target, message, read_message
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SEEDS = ROOT / "soak" / "seeds.txt"
@@ -34,6 +34,8 @@
 CONFIG_S = 1.5
 GRACE_S = 4.0
 FINDINGS_SHOWN = 10
+KILLER_SENDS = 40  # of one request that crashes targets
+KILLER_SENDS_AFTER_THIRD = 3  # that all hosts together may forward after its third crash
 LIMIT_NOTICE_S = 3.0  # after a target has named a limit; then it is checked
 SETTLE_S = 3.0  # after a disturbance; then the time bounds are checked again
 START_S = 4.0
@@ -354,6 +356,29 @@
             await asyncio.sleep(self.random.uniform(0.3, 2))
             await target.start()
 
+    async def inject_killer(self):
+        """A caller sends a request that crashes targets again and again, through any host."""
+        path = f"{KILLER_PATH}{self.now():.3f}"
+        began = self.now()
+        starts = sum(host.incarnation for host in self.hosts)
+        for _ in range(KILLER_SENDS):
+            host = self.random_host()
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(IP, host.port), 1)
+                writer.write(message(f"POST {path} HTTP/1.1", {"Host": "a.example", "X-Id": f"k{self.now():.6f}",
+                                                               "X-Deadline": "1500"}, b"lot"))
+                await asyncio.wait_for(read_message(reader), 3)
+                writer.transport.abort()
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                pass
+            await asyncio.sleep(0.1)
+        crashes = sum(each == path for target in self.targets for each, _ in target.crashes)
+        restarted = sum(host.incarnation for host in self.hosts) - starts
+        self.log_event(f"{path} sent {KILLER_SENDS} times in {self.now() - began:.1f} s: {crashes} crashes")
+        # A host that starts anew may know nothing; each of them may send it twice.
+        if crashes > 3 + KILLER_SENDS_AFTER_THIRD + 2 * restarted:
+            self.add_finding(f"{path} crashed {crashes} targets while {restarted} hosts were started")
+
     async def inject_drain(self):
         """Drains a target as planned: it reports that it drains, goes on serving, stops, and starts again as a
         new incarnation at the same address."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,6 +13,7 @@
 SLOTS = 2
 TARGET_QUEUE = 4
 HEARTBEAT_S = 0.5  # between two writes of a target's entry
+KILLER_PATH = "/sell/killer-"  # crashes each target that begins to run it
 EXPIRY_HEARTBEATS = 3  # missed heartbeats after which the entry of a target is removed
 
 
@@ -226,6 +227,7 @@
         self.malformed_ratio = 0.0
         self.error_ratio = 0.0
         self.limit = None  # requests a second that it takes from all hosts together
+        self.crashes = []  # (path, time) of the requests that crashed it
         self.received = []  # times of all requests, refused ones too
         self.running = 0
         self.waiting = 0
@@ -246,6 +248,8 @@
         self.running = self.waiting = 0
         self.slots = asyncio.Semaphore(SLOTS)
         self.server = await asyncio.start_server(self.serve, IP, self.port, backlog=256)
+        if not self.proxy.server.is_serving():
+            await self.proxy.start()
         asyncio.get_running_loop().create_task(self.send_heartbeats(self.incarnation))
 
     async def send_heartbeats(self, incarnation):
@@ -261,10 +265,19 @@
         await asyncio.sleep(HEARTBEAT_S * EXPIRY_HEARTBEATS)
         await self.store.remove("servers", name)
 
+    async def crash_at(self, path):
+        """Crashes by the request with this path, and starts again."""
+        self.crashes.append((path, asyncio.get_running_loop().time()))
+        if self.alive:
+            self.stop()
+            await asyncio.sleep(self.random.uniform(0.5, 2))
+            await self.start()
+
     def stop(self):
         """Stops at once; requests in progress are lost."""
         self.alive = False
         self.server.close()
+        self.proxy.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
@@ -302,6 +315,10 @@
             writer.write(message("HTTP/1.1 503 No", not_run))
             return True
         now = asyncio.get_running_loop().time()
+        if path.startswith(KILLER_PATH):
+            asyncio.get_running_loop().create_task(self.crash_at(path))
+            await asyncio.sleep(1)
+            return False
         self.arrivals.append((now, attempt))
         self.waiting += 1
         async with self.slots:
