Show when a host reaches no target of a service

Cause: the logs of hosts that are cut off from all targets have thousands of probe_failed lines, and none says since when or for how many requests no target answers, which the hypotheses need. Change: targets_unreachable and targets_reachable with the length and the number of requests, and a gauge. Decisions are unchanged.

--- a/src/http/attempt_exchange.cpp
+++ b/src/http/attempt_exchange.cpp
@@ -67,7 +67,7 @@
         return true;
     }
     answered_ = call.http_task_.loop().now();
-    call.http_task_.on_target_heard();
+    call.http_task_.on_target_heard(*call.service_);
     latency_ = answered_ - sent_;
     load_ = names.load_.empty() ? read_load(head) : read_compact_load(head, names.load_);
     status_ = head.status_;
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -164,7 +164,9 @@
     std::size_t body_limit(std::size_t usual);
     // When an answer of a target, to a probe or a request, was last received.
     [[nodiscard]] time_point heard_at() const { return heard_at_; }
-    void on_target_heard() { heard_at_ = loop_.now(); }
+    void on_target_heard(service_state& service);
+    // A search for a target of the service ended without an answer of any.
+    void on_targets_silent(service_state& service);
     std::string next_request_id();
     duration retry_after(std::optional<duration> expected);
     void on_target_draining(service_state& service, routing::target_index target);
--- a/src/http/http_task_probes.cpp
+++ b/src/http/http_task_probes.cpp
@@ -4,6 +4,7 @@
 #include "http/buffered_exchange.hpp"
 #include "http/http_task.hpp"
 #include "http/load_fields.hpp"
+#include "http/log_fields.hpp"
 #include "http/probe_exchange.hpp"
 #include "telemetry/log.hpp"
 
@@ -127,7 +128,7 @@
         done(std::nullopt, false);
         return;
     }
-    on_target_heard();
+    on_target_heard(service);
     on_limit_field(service, target, answer.head_, routing::limit_source::probe);
     routing::on_probe_answered(service.probe_times_, sent_at, loop_.now());
     const auto load =
@@ -136,4 +137,27 @@
     done(load, true);
 }
 
+void http_task::on_target_heard(service_state& service)
+{
+    heard_at_ = loop_.now();
+    if (const auto ended = routing::on_target_answered(service.reach_, heard_at_)) {
+        metrics_.services_unreachable_.Decrement();
+        telemetry::state_change("targets_reachable",
+                                {{"service", service.config_.name_},
+                                 {"after_ms", log_ms(ended->length_)},
+                                 {"requests", std::to_string(ended->requests_)}});
+    }
+}
+
+void http_task::on_targets_silent(service_state& service)
+{
+    if (routing::on_search_unanswered(service.reach_, loop_.now())) {
+        metrics_.services_unreachable_.Increment();
+        telemetry::state_change("targets_unreachable",
+                                {{"service", service.config_.name_},
+                                 {"targets", std::to_string(service.target_count_)}},
+                                telemetry::severity::warning);
+    }
+}
+
 } // namespace savoryscale::http
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -92,6 +92,7 @@
     if (!request_ended_) {
         caller_.pause_reading();
     }
+    routing::on_request(service_->reach_);
     const auto search = std::make_shared<target_search>(
         http_task_, *service_, tried_targets(attempt.id_), !attempt.is_hedge_, route_->priority_,
         objective_time(), time_left(),
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -5,6 +5,7 @@
 #include "admission/quarantine.hpp"
 #include "http/connection_pool.hpp"
 #include "routing/placement.hpp"
+#include "routing/reachability.hpp"
 #include "routing/search_progress.hpp"
 #include "routing/service_view.hpp"
 #include "settings/settings.hpp"
@@ -32,6 +33,7 @@
     routing::service_view view_;
     routing::placement_budget placement_budget_;
     routing::probe_times probe_times_;
+    routing::reachability reach_;
     std::map<routing::target_index, target_connections> targets_;
     std::vector<routing::target_info> listed_;
     std::size_t target_count_ = 0;   // without those that are leaving
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -332,6 +332,9 @@
     if (silent) {
         routing::on_silent_search(service_.probe_times_);
     }
+    if (result.end_ == routing::search_end::no_answer && tried_.empty()) {
+        http_task_.on_targets_silent(service_);
+    }
     result.placed_ = placed;
     routing::on_search_ended(service_.placement_budget_, probed_,
                              routing::own_in_flight(service_.view_), result.placed_.has_value());
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -73,6 +73,7 @@
     prometheus::Counter& limited_requests_;
     prometheus::Counter& quarantined_requests_;
     prometheus::Gauge& suspects_;
+    prometheus::Gauge& services_unreachable_;
 
     counter_set<admission::refusal, admission::refusal::overload>
         refusals_; // refusal::none is never counted
