--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -31,15 +31,45 @@
 
 } // namespace
 
-relay::relay(std::uint16_t to_port) : listener_{socket(AF_INET, SOCK_STREAM, 0)}, to_port_{to_port}
+relay::relay(std::uint16_t to_port) : to_port_{to_port}
 {
-    sockaddr_in address = loopback(0);
+    open_listener();
+    thread_ = std::thread{[this] { run(); }};
+}
+
+// On a free port the first time, then on the same one.
+void relay::open_listener()
+{
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    const int yes = 1;
+    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    sockaddr_in address = loopback(port_);
     socklen_t size = sizeof address;
     bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
     listen(listener_, 16);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
-    thread_ = std::thread{[this] { run(); }};
+}
+
+void relay::set_cut(path_cut cut)
+{
+    const std::lock_guard lock{mutex_};
+    cut_ = cut;
+    const bool accepts = cut == path_cut::none || cut == path_cut::silent;
+    if (!accepts && listener_ >= 0) {
+        close(listener_);
+        listener_ = -1;
+    }
+    else if (accepts && listener_ < 0) {
+        open_listener();
+    }
+    for (pair& each : pairs_) {
+        each.silent_ |= cut == path_cut::silent || cut == path_cut::reset;
+        if (cut == path_cut::reset) {
+            shutdown(each.client_, SHUT_RDWR);
+            shutdown(each.server_, SHUT_RDWR);
+        }
+    }
 }
 
 relay::~relay()
@@ -72,16 +102,17 @@
         return;
     }
     ++accepted_;
-    pairs_.push_back({client, server, false});
+    pairs_.push_back({client, server, cut_ == path_cut::silent});
 }
 
 void relay::run()
 {
     while (!stopping_) {
-        std::vector<pollfd> polled{{listener_, POLLIN, 0}};
+        std::vector<pollfd> polled;
         std::vector<std::size_t> owners;
         {
             const std::lock_guard lock{mutex_};
+            polled.push_back({listener_, POLLIN, 0});
             for (std::size_t i = 0; i < pairs_.size(); ++i) {
                 if (!pairs_[i].silent_) {
                     polled.push_back({pairs_[i].client_, POLLIN, 0});
@@ -92,7 +123,7 @@
         }
         poll(polled.data(), polled.size(), 10);
         const std::lock_guard lock{mutex_};
-        if (polled[0].revents != 0) {
+        if (polled[0].revents != 0 && polled[0].fd == listener_) {
             accept_one();
         }
         for (std::size_t i = 0; i < owners.size(); ++i) {
--- a/tests/support/relay.hpp
+++ b/tests/support/relay.hpp
@@ -11,6 +11,14 @@
 
 namespace savoryscale::tests {
 
+// What the relay does to the path that it stands for.
+enum class path_cut : std::uint8_t {
+    none,
+    silent,     // nothing passes, on open connections and on new ones
+    reset,      // open connections are closed and new ones refused
+    refuse_new, // open connections live on
+};
+
 class relay {
 public:
     // Listens on a free port of 127.0.0.1 and forwards each connection to `to_port` there.
@@ -26,6 +34,8 @@
     // Connections accepted so far.
     int accepted() const { return accepted_; }
 
+    void set_cut(path_cut cut);
+
     // Stops forwarding on the connections that are open now, without closing them.
     void silence_open_connections();
 
@@ -38,12 +48,14 @@
 
     void run();
     void accept_one();
+    void open_listener();
 
     int listener_ = -1;
     std::uint16_t port_ = 0;
     std::uint16_t to_port_ = 0;
     std::atomic<int> accepted_{0};
     std::atomic<bool> stopping_{false};
+    path_cut cut_ = path_cut::none;
     std::mutex mutex_;
     std::vector<pair> pairs_;
     std::thread thread_;
