Hand requests to another host while no target answers this one

Cause: a request's only way led from the host of its caller to the targets. Ruled out: readiness alone. Change: a service whose search no target answers is unreached; one search in 200 ms tries again, and the other requests go to a host that reaches it, at an address that callers do not reach. Hosts name themselves when they ask for the directory, and the hosts of the feed name them to one that asks. The second host never hands on and makes no second attempt; only its word that a request has not run lets a third one have it. Result: cut_off_host, red before (0 of 30 served), is green, with silent, reset and refused paths, a single target, a cut that comes and goes, no host that reaches a target, and a caller that poses as a host. 57 of 57 tests pass.

--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -96,7 +96,9 @@
     http_task_ =
         std::make_unique<http::http_task>(*loop_, config_, metrics_, seed_, http_task_events());
     directory_ = std::make_unique<directory::directory_task>(
-        *loop_, *config_.directory_, dialect_, config_.host_.id_, seed_ + 1, directory_events());
+        *loop_, *config_.directory_, dialect_, config_.host_, seed_ + 1, directory_events());
+    http_task_->relays().set_known_hosts(
+        [this] { return directory_->known_hosts(config_.host_.data_centre_); });
     pages_ = std::make_unique<http::page_server>(
         *loop_, page_connections_max,
         [this](std::string_view path, const http::page_reply& reply) { reply(answer_page(path)); });
@@ -224,6 +226,7 @@
     events.on_peer_request_ = [this](std::string_view path) {
         return http_task_->answer_peer(path);
     };
+    events.unreached_services_ = [this] { return http_task_->unreached_services(); };
     events.on_suspicions_ = [this](const std::vector<peer::fact>& suspicions) {
         http_task_->receive_suspicions(suspicions);
     };
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -43,6 +43,9 @@
 // Added to the maximum feed age to get the timeout of a request to a peer.
 constexpr duration feed_response_margin = 500ms;
 
+// Hosts named to one that asks; a request needs one or two of them.
+constexpr std::size_t known_hosts_max = 31;
+
 // No entry expires in a store outage shorter than this.
 constexpr duration outage_min = 1s;
 
@@ -63,12 +66,13 @@
 } // namespace
 
 directory_task::directory_task(http::event_loop& loop, const settings::directory& config,
-                               const dialect& store_dialect, std::string_view host_id,
+                               const dialect& store_dialect, const settings::host& host,
                                std::uint64_t seed, directory_events events)
     : loop_{loop},
       config_{config},
       dialect_{store_dialect},
-      host_id_{host_id},
+      host_id_{host.id_},
+      data_centre_{host.data_centre_},
       random_{seed},
       events_{std::move(events)},
       pool_{loop, config.store_, false, connections_max},
@@ -97,16 +101,21 @@
                    position_.version_ = version_;
                    return position_;
                },
-               events_.on_peers_lost_}},
-      server_{loop,
-              feed_,
-              fraction_of(config.drain_, feed_age_max_fraction * feed_hold_fraction),
-              {[this] {
-                   source_.last_peer_request_ = loop_.now();
-                   check_sources();
-               },
-               [this] { return is_complete() ? as_of(source_) : std::nullopt; },
-               events_.on_peer_request_}}
+               [this] { return own_announcement(); }, events_.on_peers_lost_}},
+      server_{
+          loop,
+          feed_,
+          fraction_of(config.drain_, feed_age_max_fraction * feed_hold_fraction),
+          {[this](const std::optional<announced_host>& reader) {
+               source_.last_peer_request_ = loop_.now();
+               if (reader) {
+                   on_host_heard(host_table_, *reader, loop_.now());
+               }
+               check_sources();
+           },
+           [this](std::string_view data_centre) { return write_hosts(known_hosts(data_centre)); },
+           [this] { return is_complete() ? as_of(source_) : std::nullopt; },
+           events_.on_peer_request_}}
 {
     pool_.enable_tcp_keepalive();
     feed_.epoch_ = random_() | 1U; // 0 is the position of a reader that has no data
@@ -319,6 +328,27 @@
     return true;
 }
 
+std::optional<announced_host> directory_task::own_announcement() const
+{
+    if (!config_.feed_ || !config_.feed_->relay_) {
+        return std::nullopt;
+    }
+    announced_host own{*config_.feed_->relay_, data_centre_, {}};
+    if (events_.unreached_services_) {
+        own.unreached_ = events_.unreached_services_();
+    }
+    return own;
+}
+
+std::vector<announced_host> directory_task::known_hosts(std::string_view data_centre)
+{
+    auto hosts = sample_hosts(host_table_, data_centre, known_hosts_max, loop_.now(), random_);
+    if (const auto own = own_announcement()) {
+        hosts.push_back(*own);
+    }
+    return hosts;
+}
+
 void directory_task::share_suspicion(const peer::fact& suspicion)
 {
     update_suspicion(feed_, suspicion, loop_.now());
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -9,6 +9,7 @@
 #include "directory/feed_client.hpp"
 #include "directory/feed_server.hpp"
 #include "directory/follower.hpp"
+#include "directory/host_table.hpp"
 #include "directory/registry.hpp"
 #include "directory/source.hpp"
 #include "directory/store_era.hpp"
@@ -40,6 +41,7 @@
     // Another host's request that is not about the directory.
     std::function<http::page(std::string_view path)> on_peer_request_;
     std::function<void(const std::vector<peer::fact>&)> on_suspicions_; // from a peer
+    std::function<std::vector<service_hash>()> unreached_services_;     // by this host
     // This host reads from a peer ("ip:port") that it has not read from since that was started.
     std::function<void(const std::string& peer)> on_peer_started_;
 };
@@ -47,7 +49,7 @@
 class directory_task {
 public:
     directory_task(http::event_loop& loop, const settings::directory& config,
-                   const dialect& store_dialect, std::string_view host_id, std::uint64_t seed,
+                   const dialect& store_dialect, const settings::host& host, std::uint64_t seed,
                    directory_events events);
     ~directory_task();
     directory_task(const directory_task&) = delete;
@@ -65,8 +67,8 @@
     // Passes a suspicion on to the hosts that read from this one.
     void share_suspicion(const peer::fact& suspicion);
 
-    // Whether this host is one that the others read from.
-    [[nodiscard]] bool is_configured_source() const { return source_.is_configured_source_; }
+    // The hosts that read from this one, and this one itself, those in the data centre first.
+    std::vector<announced_host> known_hosts(std::string_view data_centre);
 
     // Whether a desired state and the list of targets are known.
     [[nodiscard]] bool is_complete() const { return version_ > 0 && targets_listed_; }
@@ -80,6 +82,7 @@
     bool on_page(const feed_page& page);
     void apply_page_targets(const feed_page& page, time_point now);
     void update_store_as_of();
+    std::optional<announced_host> own_announcement() const;
     bool on_era(std::optional<std::uint64_t> named, time_point began, follower& other);
     bool is_older(const feed_page& page) const;
     void change_era(std::uint64_t before);
@@ -96,6 +99,7 @@
     const settings::directory& config_;
     const dialect& dialect_;
     std::string host_id_;
+    std::string data_centre_;
     random_source random_;
     directory_events events_;
     http::connection_pool pool_;
@@ -113,6 +117,7 @@
     std::optional<time_point> store_down_since_; // as reported by a peer
     bool checking_sources_ = false;
     http::timer_id source_check_timer_ = 0;
+    host_table host_table_; // the hosts that read from this one
     feed_client client_;
     feed_server server_;
 };
--- a/src/directory/feed_client.cpp
+++ b/src/directory/feed_client.cpp
@@ -107,8 +107,8 @@
     }
     exchange_ = std::make_unique<http::buffered_exchange>(
         loop_,
-        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", feed_path(events_.position_()),
-                    pool_->name()),
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                    feed_path(events_.position_(), events_.announced_host_()), pool_->name()),
         answer_max_bytes);
     const bool began = exchange_->start(
         *pool_, timeout_, [this](const http::buffered_answer& answer) { on_answer(answer); });
--- a/src/directory/feed_client.hpp
+++ b/src/directory/feed_client.hpp
@@ -6,6 +6,7 @@
 #include "base/clock.hpp"
 #include "base/random.hpp"
 #include "directory/feed_page.hpp"
+#include "directory/host_table.hpp"
 #include "http/timer_queue.hpp"
 #include "settings/settings.hpp"
 
@@ -27,7 +28,8 @@
 struct feed_client_events {
     std::function<bool(const feed_page&)> on_page_; // false: this host has newer data
     std::function<feed_position()> position_;       // of this host's data, in the peer's feed
-    std::function<void()> on_lost_;                 // on the first of consecutive failures
+    std::function<std::optional<announced_host>()> announced_host_; // what this host says of itself
+    std::function<void()> on_lost_; // on the first of consecutive failures
 };
 
 class feed_client {
--- a/src/directory/feed_server.cpp
+++ b/src/directory/feed_server.cpp
@@ -1,5 +1,6 @@
 #include "directory/feed_server.hpp"
 
+#include "base/text.hpp"
 #include "directory/feed.hpp"
 #include "http/event_loop.hpp"
 #include "peer/feed_wire.hpp"
@@ -19,6 +20,8 @@
 constexpr std::size_t connections_max = 1000;
 
 constexpr std::string_view path_prefix = "/directory?";
+constexpr std::string_view hosts_path_prefix = "/hosts?";
+constexpr char host_separator = '&';
 
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
@@ -26,9 +29,26 @@
 
 } // namespace
 
-std::string feed_path(const feed_position& reader)
+std::string feed_path(const feed_position& reader, const std::optional<announced_host>& host)
 {
-    return fmt::format("{}{}.{}.{}", path_prefix, reader.epoch_, reader.sequence_, reader.version_);
+    std::string path =
+        fmt::format("{}{}.{}.{}", path_prefix, reader.epoch_, reader.sequence_, reader.version_);
+    if (host) {
+        path += host_separator + write_hosts(std::span{&*host, 1});
+    }
+    return path;
+}
+
+std::optional<announced_host> read_announced_host(std::string_view path)
+{
+    take_until(path, host_separator);
+    const auto hosts = read_hosts(path);
+    return hosts && hosts->size() == 1 ? std::optional{hosts->front()} : std::nullopt;
+}
+
+std::string hosts_path(std::string_view data_centre)
+{
+    return fmt::format("{}{}", hosts_path_prefix, data_centre);
 }
 
 std::optional<feed_position> read_feed_path(std::string_view path)
@@ -36,6 +56,7 @@
     if (!path.starts_with(path_prefix)) {
         return std::nullopt;
     }
+    path = take_until(path, host_separator);
     std::array<std::uint64_t, 3> numbers{};
     const char* at = path.data() + path_prefix.size();
     const char* end = path.data() + path.size();
@@ -75,6 +96,11 @@
 
 void feed_server::on_request(std::string_view path, const http::page_reply& reply)
 {
+    if (events_.on_hosts_request_ && path.starts_with(hosts_path_prefix)) {
+        const std::string_view data_centre = path.substr(hosts_path_prefix.size());
+        reply({status_ok, "text/plain", events_.on_hosts_request_(data_centre)});
+        return;
+    }
     if (events_.on_peer_request_ && !path.starts_with(path_prefix)) {
         reply(events_.on_peer_request_(path));
         return;
@@ -84,7 +110,7 @@
         reply({status_bad_request, "text/plain", "ask for /directory?EPOCH.SEQUENCE.VERSION\n"});
         return;
     }
-    events_.on_request_();
+    events_.on_request_(read_announced_host(path));
     if (events_.as_of_() && has_updates(feed_, *position)) {
         reply(page_at(*position));
         return;
--- a/src/directory/feed_server.hpp
+++ b/src/directory/feed_server.hpp
@@ -5,6 +5,7 @@
 
 #include "base/clock.hpp"
 #include "directory/feed_page.hpp"
+#include "directory/host_table.hpp"
 #include "http/page_server.hpp"
 #include "http/timer_queue.hpp"
 
@@ -18,12 +19,18 @@
 
 struct feed;
 
-// The request path that asks for the changes since a position.
-std::string feed_path(const feed_position& reader);
+// The request path that asks for the changes since a position, and what the reader says of itself.
+std::string feed_path(const feed_position& reader,
+                      const std::optional<announced_host>& host = std::nullopt);
 std::optional<feed_position> read_feed_path(std::string_view path);
+std::optional<announced_host> read_announced_host(std::string_view path);
+
+// The request path that asks for hosts, those in the data centre first.
+std::string hosts_path(std::string_view data_centre);
 
 struct feed_server_events {
-    std::function<void()> on_request_;
+    std::function<void(const std::optional<announced_host>& reader)> on_request_;
+    std::function<std::string(std::string_view data_centre)> on_hosts_request_;
     std::function<std::optional<time_point>()> as_of_; // none: no data yet
     // Answers a path that does not ask for the directory.
     std::function<http::page(std::string_view path)> on_peer_request_;
--- a/src/dispatch/call.cpp
+++ b/src/dispatch/call.cpp
@@ -124,6 +124,15 @@
     state.attempts_[id].may_have_run_ = true;
 }
 
+void on_attempt_returned(call& state, attempt_id id)
+{
+    attempt& returned = state.attempts_[id];
+    if (is_live(returned)) {
+        returned.phase_ = attempt_phase::opening;
+        returned.may_have_run_ = false;
+    }
+}
+
 actions on_attempt_ended(call& state, attempt_id id, attempt_failure failure, bool granted)
 {
     actions todo;
--- a/src/dispatch/call.hpp
+++ b/src/dispatch/call.hpp
@@ -113,6 +113,10 @@
 // The first byte of an attempt is about to be handed to the kernel.
 void on_attempt_sent(call& state, attempt_id id);
 
+// The host to which the attempt was handed has proved that it did not run it. The attempt is open
+// again, for another host.
+void on_attempt_returned(call& state, attempt_id id);
+
 // An attempt ended without an answer.
 actions on_attempt_ended(call& state, attempt_id id, attempt_failure failure, bool granted);
 
--- a/src/http/attempt_exchange.cpp
+++ b/src/http/attempt_exchange.cpp
@@ -67,11 +67,18 @@
         return true;
     }
     answered_ = call.http_task_.loop().now();
-    call.http_task_.on_target_heard(*call.service_);
     latency_ = answered_ - sent_;
-    load_ = names.load_.empty() ? read_load(head) : read_compact_load(head, names.load_);
     status_ = head.status_;
-    if (status_ != status_other_server) {
+    if (relay_) {
+        if (on_relay_answer(head)) {
+            return true;
+        }
+    }
+    else {
+        call.http_task_.on_target_heard(*call.service_);
+        load_ = names.load_.empty() ? read_load(head) : read_compact_load(head, names.load_);
+    }
+    if (!relay_ && status_ != status_other_server) {
         call.http_task_.on_limit_field(*call.service_, target_, head,
                                        routing::limit_source::request);
     }
@@ -102,6 +109,26 @@
     return true;
 }
 
+// The other host says of each answer of its own whether the request may have run.
+bool attempt_exchange::on_relay_answer(const answer_head& head)
+{
+    const std::string_view outcome = find_field(head, outcome_field);
+    if (outcome.empty()) {
+        return false; // the answer of a target
+    }
+    if (has_field(head, unreached_field)) {
+        call_->http_task_.relays().on_failed(*relay_);
+    }
+    connection_->abandon();
+    if (outcome == dispatch::to_string(dispatch::outcome::not_run)) {
+        call_->hand_on_again(*this);
+    }
+    else {
+        call_->fail_attempt(*this, dispatch::attempt_failure::broken);
+    }
+    return true;
+}
+
 void attempt_exchange::on_answer_body(std::string_view bytes)
 {
     buffered_body_.append(bytes);
@@ -136,6 +163,11 @@
     connection_ = nullptr;
     proxied_call& call = *call_;
     const bool was_sent = failure == exchange_failure::broken;
+    if (relay_ && !was_sent) {
+        call.http_task_.relays().on_failed(*relay_);
+        call.hand_on_again(*this);
+        return;
+    }
     if (failure == exchange_failure::refused) {
         call.http_task_.on_connection_refused(*call.service_, target_);
     }
--- a/src/http/attempt_exchange.hpp
+++ b/src/http/attempt_exchange.hpp
@@ -7,6 +7,7 @@
 #include "http/timer_queue.hpp"
 #include "http/upstream_exchange.hpp"
 #include "routing/target.hpp"
+#include "settings/settings.hpp"
 #include "telemetry/span.hpp"
 
 #include <memory>
@@ -34,6 +35,9 @@
 private:
     friend class proxied_call;
 
+    // The head of another host's own answer: true if it was dealt with.
+    bool on_relay_answer(const answer_head& head);
+
     proxied_call* call_ = nullptr;
     dispatch::attempt_id id_ = 0;
     routing::target_index target_ = 0;
@@ -45,10 +49,11 @@
     duration latency_{};
     std::optional<routing::load_report> load_;
     std::string request_id_;
-    std::string target_name_;               // address and incarnation, for the quarantine
-    std::string instance_;                  // id of the only server that may run it; empty: any
-    std::shared_ptr<target_search> search_; // the search for its target, while it runs
-    answer_head head_;                      // head of its answer
+    std::string target_name_;                 // address and incarnation, for the quarantine
+    std::string instance_;                    // id of the only server that may run it; empty: any
+    std::optional<settings::endpoint> relay_; // the host that it is handed to, in place of a target
+    std::shared_ptr<target_search> search_;   // the search for its target, while it runs
+    answer_head head_;                        // head of its answer
     std::string buffered_body_; // received part of the answer's body that is not forwarded yet
     bool forwarding_ = false;   // forwarding of the answer has begun
     bool is_hedge_ = false;     // runs in parallel with an attempt that has not answered
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -23,6 +23,9 @@
 // Limit on buffered bytes of further requests while one is being answered; reading pauses above it.
 constexpr std::size_t pipelined_bytes_max = 65536;
 
+// Fields that another host adds to the head of a request.
+constexpr std::uint32_t relay_header_bytes = 1024;
+
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 constexpr int status_bad_request = 400;
@@ -31,8 +34,11 @@
 
 } // namespace
 
-caller_connection::caller_connection(http_task& owner, socket& stream)
-    : http_task_{owner}, stream_{&stream}, reader_{owner.limits().max_header_bytes_}
+caller_connection::caller_connection(http_task& owner, socket& stream, bool is_host)
+    : http_task_{owner},
+      stream_{&stream},
+      reader_{owner.limits().max_header_bytes_ + (is_host ? relay_header_bytes : 0)},
+      is_host_{is_host}
 {
     set_activity_deadline(http_task_.limits().idle_timeout_);
 }
--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -19,7 +19,8 @@
 
 class caller_connection final : public socket_handler {
 public:
-    caller_connection(http_task& owner, socket& stream);
+    // `is_host`: another entry host, which hands on requests of its callers.
+    caller_connection(http_task& owner, socket& stream, bool is_host);
     ~caller_connection();
     caller_connection(const caller_connection&) = delete;
     caller_connection& operator=(const caller_connection&) = delete;
@@ -40,6 +41,8 @@
     // Address of the caller, without its port.
     [[nodiscard]] std::string_view ip() const;
 
+    [[nodiscard]] bool is_host() const { return is_host_; }
+
     // Bytes of the answer that the kernel has not accepted yet.
     [[nodiscard]] std::size_t queued() const;
 
@@ -79,6 +82,7 @@
     message_reader<request_head> reader_;
     std::unique_ptr<proxied_call> call_;
     std::string body_; // decoded request body of the read in progress
+    const bool is_host_;
     bool answer_chunked_ = false;
     bool close_after_answer_ = false;
     bool is_head_request_ = false;
--- a/src/http/head_text.cpp
+++ b/src/http/head_text.cpp
@@ -21,8 +21,8 @@
                                                              "Upgrade",
                                                              "Content-Length"};
 
-constexpr std::array<std::string_view, 3> locally_set_fields{"Expect", outcome_field,
-                                                             "traceparent"};
+constexpr std::array<std::string_view, 5> locally_set_fields{"Expect", outcome_field, "traceparent",
+                                                             relayed_caller_field, unreached_field};
 
 struct status_text {
     int status_;
@@ -141,6 +141,10 @@
         fmt::format_to(std::back_inserter(text), "{}: {}\r\n", names.expect_instance_,
                        added.expect_instance_);
     }
+    if (!added.relayed_caller_.empty()) {
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", relayed_caller_field,
+                       added.relayed_caller_);
+    }
     if (!added.allow_inner_retries_ && !has_field(head, no_retry_field)) {
         fmt::format_to(std::back_inserter(text), "{}: 1\r\n", no_retry_field);
     }
@@ -180,6 +184,9 @@
         text += answer.fractional_ ? fmt::format("Retry-After: {:.3f}\r\n", exact.count())
                                    : fmt::format("Retry-After: {}\r\n", rounded_up.count());
     }
+    if (answer.targets_unreached_) {
+        text.append(unreached_field).append(": 1\r\n");
+    }
     if (answer.close_) {
         text.append("Connection: close\r\n");
     }
--- a/src/http/head_text.hpp
+++ b/src/http/head_text.hpp
@@ -23,6 +23,7 @@
     std::string traceparent_;         // empty: none
     std::string request_id_;          // the upstream may echo it; see has_matching_request_id
     std::string expect_instance_;     // the only instance that may run the request; empty: any
+    std::string relayed_caller_;      // address of the caller, for another host; empty: none
     duration remaining_{};            // time until the deadline
     bool allow_inner_retries_ = true; // false: adds a field that tells later hops not to retry
 };
@@ -47,7 +48,8 @@
     std::string text_;
     std::optional<duration> retry_after_;
     bool close_ = false;
-    bool fractional_ = false; // write Retry-After with fractions of a second
+    bool targets_unreached_ = false; // for another host: no target answers this one either
+    bool fractional_ = false;        // write Retry-After with fractions of a second
 };
 
 // Head and body of a locally generated answer. Answers to HEAD requests have no body.
@@ -58,6 +60,9 @@
 
 inline constexpr std::string_view outcome_field = "Savoryscale-Outcome";
 inline constexpr std::string_view no_retry_field = "Savoryscale-No-Retry";
+// Between entry hosts only.
+inline constexpr std::string_view relayed_caller_field = "Savoryscale-Caller";
+inline constexpr std::string_view unreached_field = "Savoryscale-Targets-Unreached";
 inline constexpr std::string_view idempotency_key_field = "Idempotency-Key";
 
 } // namespace savoryscale::http
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -22,6 +22,10 @@
 using namespace std::chrono_literals;
 
 constexpr duration tick_interval = 1s;
+
+// Requests of other hosts in progress here; the caller of one more is served by a third host. They
+// take their turn among this host's own, whose connections are not limited by it.
+constexpr std::size_t relayed_calls_max = 64;
 constexpr duration stop_check_interval = 10ms;
 constexpr duration load_interval = 100ms; // between load reports to admission
 
@@ -62,7 +66,8 @@
       request_id_prefix_{fmt::format("{}-{:x}-", config.host_.id_, random_())},
       grants_{loop, random_},
       suspicion_reports_{loop, random_, quarantine_,
-                         [this](std::span<const peer::fact> known) { receive_suspicions(known); }}
+                         [this](std::span<const peer::fact> known) { receive_suspicions(known); }},
+      relay_hosts_{loop, random_, config}
 {
     body_memory_.max_ = std::size_t{config_.listen_.body_memory_mb_} << 20U;
     limits_.max_header_bytes_ = config_.listen_.max_header_bytes_;
@@ -100,16 +105,50 @@
         probe_targets();
         loop_.after(load_interval, [this] { report_load_to_admission(); });
     }
-    return loop_.listen(config_.listen_.address_, config_.listen_.tls_,
-                        [this](socket& stream) -> socket_handler* {
-                            if (callers_.size() >= config_.listen_.max_connections_) {
-                                return nullptr;
-                            }
-                            auto owned = std::make_unique<caller_connection>(*this, stream);
-                            caller_connection* caller = owned.get();
-                            callers_.emplace(caller, std::move(owned));
-                            return caller;
-                        });
+    if (relay_hosts_.is_enabled()) {
+        const auto opened =
+            loop_.listen(*config_.directory_->feed_->relay_, std::nullopt, accept_callers(true));
+        if (!opened) {
+            return opened;
+        }
+    }
+    return loop_.listen(config_.listen_.address_, config_.listen_.tls_, accept_callers(false));
+}
+
+// `are_hosts`: the connections come from other entry hosts.
+accept_function http_task::accept_callers(bool are_hosts)
+{
+    return [this, are_hosts](socket& stream) -> socket_handler* {
+        if (callers_.size() >= config_.listen_.max_connections_) {
+            return nullptr;
+        }
+        auto owned = std::make_unique<caller_connection>(*this, stream, are_hosts);
+        caller_connection* caller = owned.get();
+        callers_.emplace(caller, std::move(owned));
+        return caller;
+    };
+}
+
+bool http_task::begin_relayed_call()
+{
+    if (relayed_calls_ >= relayed_calls_max) {
+        return false;
+    }
+    ++relayed_calls_;
+    ++relayed_calls_total_;
+    metrics_.relayed_requests_[telemetry::direction::received].Increment();
+    return true;
+}
+
+std::vector<directory::service_hash> http_task::unreached_services() const
+{
+    std::vector<directory::service_hash> unreached;
+    for (const auto& service : services_) {
+        if (service->reach_.lost_at_) {
+            unreached.push_back(directory::hash_of_service(service->config_.name_));
+        }
+    }
+    return unreached;
 }
 
 void http_task::post(std::function<void(http_task&)> action)
@@ -334,6 +373,7 @@
         events_.on_tick_();
     }
     publish_limits();
+    relay_hosts_.close_aged(now);
     for (auto& service : services_) {
         for (auto& [index, connections] : service->targets_) {
             connections.pool_->close_aged(now);
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -13,6 +13,7 @@
 #include "http/event_loop.hpp"
 #include "http/limit_grants.hpp"
 #include "http/page_server.hpp"
+#include "http/relay_hosts.hpp"
 #include "http/service_state.hpp"
 #include "http/suspicion_reports.hpp"
 #include "peer/fact.hpp"
@@ -174,6 +175,14 @@
     void on_limit_field(service_state& service, routing::target_index target,
                         const answer_head& head, routing::limit_source source);
     [[nodiscard]] limit_grants& grants() { return grants_; }
+    [[nodiscard]] relay_hosts& relays() { return relay_hosts_; }
+    // Services of which no target answers this host.
+    [[nodiscard]] std::vector<directory::service_hash> unreached_services() const;
+    // Counts a request of another host; false: there are too many.
+    bool begin_relayed_call();
+    void end_relayed_call() { --relayed_calls_; }
+    // Requests of other hosts that were taken so far.
+    [[nodiscard]] std::size_t relayed_calls_total() const { return relayed_calls_total_; }
     [[nodiscard]] class suspicion_reports& suspicion_reports() { return suspicion_reports_; }
     // The limit that the target named last; null: none. Valid until the next answer.
     static const routing::target_limit* limit_of(const service_state& service,
@@ -205,6 +214,7 @@
         bool others_broken_ = false; // there are others, which broke connections as well
     };
 
+    accept_function accept_callers(bool are_hosts);
     target_connections& connections_of(service_state& service, routing::target_index target);
     service_state* find_service(std::string_view name);
     service_state& add_service(settings::service config);
@@ -260,6 +270,9 @@
     limit_grants grants_;
     class suspicion_reports suspicion_reports_;
     bool serves_hosts_ = false; // other hosts read from this one
+    relay_hosts relay_hosts_;
+    std::size_t relayed_calls_ = 0; // in progress, for other hosts
+    std::size_t relayed_calls_total_ = 0;
     bool stopping_ = false;
     bool stop_lag_over_ = false;
 };
--- a/src/http/http_task_crashes.cpp
+++ b/src/http/http_task_crashes.cpp
@@ -39,6 +39,7 @@
     serves_hosts_ = std::find(hosts.begin(), hosts.end(), own) != hosts.end();
     grants_.set_granters(hosts, own);
     suspicion_reports_.set_hosts(hosts, own);
+    relay_hosts_.set_feed_hosts(hosts);
 }
 
 page http_task::answer_peer(std::string_view path)
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -125,6 +125,12 @@
         refuse({status_too_large, "not-run", "the body is over the limit", std::nullopt, false});
         return;
     }
+    if (is_relayed() && !(counted_as_relayed_ = http_task_.begin_relayed_call())) {
+        refuse({status_unavailable, "not-run",
+                "too many requests of other hosts are in progress on this one",
+                duration{crowded_retry_after}, false});
+        return;
+    }
     service_ = &http_task_.service_of(*route_);
     const auto verdict = http_task_.admit(customer_, *service_);
     if (trace_.sampled_) {
@@ -156,7 +162,8 @@
                        {{"route", route_->name_},
                         {"service", config.name_},
                         {"version", std::to_string(routes_->state_.version_)},
-                        {"caller", std::string{caller_.ip()}},
+                        {"caller", std::string{caller_ip()}},
+                        {"from_host", is_relayed() ? std::string{caller_.ip()} : ""},
                         {"left_ms", log_ms(deadline_ - now)}});
     deadline_timer_ = http_task_.loop().at(deadline_, [this] { on_deadline(); });
     if (equal_ignoring_case(find_field(head_, "Expect"), "100-continue")) {
@@ -262,7 +269,7 @@
     }
     dispatched_ = true;
     const std::string_view prefix = std::string_view{body_}.substr(0, fingerprint_bytes);
-    const std::string_view caller = customer_.empty() ? caller_.ip() : customer_;
+    const std::string_view caller = customer_.empty() ? caller_ip() : customer_;
     fingerprint_ = admission::fingerprint_of({head_.method_, head_.target_, caller,
                                               find_field(head_, idempotency_key_field),
                                               XXH3_64bits(prefix.data(), prefix.size())});
@@ -343,7 +350,7 @@
 bool proxied_call::has_unchecked_crash() const
 {
     return std::any_of(exchanges_.begin(), exchanges_.end(), [this](const attempt_exchange& one) {
-        return one.pool_ != nullptr &&
+        return one.pool_ != nullptr && !one.relay_ &&
                !http_task_.is_crash_checked(*service_, one.target_, fingerprint_);
     });
 }
@@ -367,7 +374,8 @@
                                       "that they name; send it again later"
                             : not_run ? "the request was not run; it is safe to send it again"
                                       : "the request may have run; find out before repeating it",
-                            retry_after, false});
+                            retry_after, false,
+                            is_relayed() && not_run && service_->reach_.lost_at_});
 }
 
 // Records the spans of an ended attempt: the whole attempt, the choice of its target until the
@@ -536,6 +544,10 @@
     http_task_.loop().cancel(hedge_timer_);
     http_task_.loop().cancel(progress_timer_);
     http_task_.loop().cancel(answer_timer_);
+    http_task_.relays().cancel(relay_search_);
+    if (counted_as_relayed_) {
+        http_task_.end_relayed_call();
+    }
     release_claim();
     if (admitted_) {
         http_task_.release(customer_, *service_);
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -11,6 +11,7 @@
 #include "http/event_loop.hpp"
 #include "http/head.hpp"
 #include "http/head_text.hpp"
+#include "http/relay_hosts.hpp"
 #include "routes/table.hpp"
 #include "routing/target.hpp"
 #include "telemetry/metrics.hpp"
@@ -101,6 +102,13 @@
     void connect_attempt(attempt_exchange& attempt, upstream_connection* connection);
     std::optional<time_point> objective_time() const;
     void begin_search(attempt_exchange& attempt);
+    bool may_relay() const;
+    bool is_relayed() const;
+    std::string_view caller_ip() const;
+    void hand_on_again(attempt_exchange& attempt);
+    void begin_relay(attempt_exchange& attempt);
+    void on_relay_found(attempt_exchange& attempt, const std::optional<relay_hosts::relay>& found);
+    upstream_connection* acquire_relay(attempt_exchange& attempt, const relay_hosts::relay& chosen);
     void on_search_done(attempt_exchange& attempt, const search_result& found);
     void forward_answer(attempt_exchange& attempt);
     void log_answer(const attempt_exchange& attempt) const;
@@ -111,6 +119,7 @@
     void end_request_on(upstream_connection& connection);
     void cancel_attempt(dispatch::attempt_id id);
     void report_end(attempt_exchange& attempt, routing::attempt_end end, bool finished);
+    void report_end_at_target(attempt_exchange& attempt, routing::attempt_end end, bool finished);
     void fail_attempt(attempt_exchange& attempt, dispatch::attempt_failure failure);
     void record_attempt(const attempt_exchange& attempt, bool finished);
     void arm_hedge();
@@ -147,6 +156,9 @@
     timer_id hedge_timer_ = 0;
     timer_id progress_timer_ = 0;
     timer_id answer_timer_ = 0;
+    std::vector<settings::endpoint> tried_relays_; // hosts that the request was handed to
+    std::uint64_t relay_search_ = 0;               // while a host is looked for
+    bool counted_as_relayed_ = false;
     bool admitted_ = false;
     bool dispatched_ = false;
     bool request_ended_ = false;
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -60,6 +60,11 @@
         attempt.open_timer_ = http_task_.loop().after(open_timeout, [this, &attempt] {
             attempt.open_timer_ = 0;
             std::exchange(attempt.connection_, nullptr)->abandon();
+            if (attempt.relay_) {
+                http_task_.relays().on_failed(*attempt.relay_);
+                hand_on_again(attempt);
+                return;
+            }
             http_task_.on_connection_refused(*service_, attempt.target_);
             fail_attempt(attempt, dispatch::attempt_failure::unsent);
         });
@@ -70,7 +75,7 @@
 {
     std::vector<routing::target_index> tried;
     for (std::size_t i = 0; i < before; ++i) {
-        if (exchanges_[i].pool_ != nullptr) {
+        if (exchanges_[i].pool_ != nullptr && !exchanges_[i].relay_) {
             tried.push_back(exchanges_[i].target_);
         }
     }
@@ -93,6 +98,15 @@
         caller_.pause_reading();
     }
     routing::on_request(service_->reach_);
+    if (!routing::is_search_due(service_->reach_, http_task_.loop().now())) {
+        if (may_relay() && (!attempt.is_hedge_ || take_hedge())) {
+            begin_relay(attempt);
+        }
+        else {
+            connect_attempt(attempt, nullptr);
+        }
+        return;
+    }
     const auto search = std::make_shared<target_search>(
         http_task_, *service_, tried_targets(attempt.id_), !attempt.is_hedge_, route_->priority_,
         objective_time(), time_left(),
@@ -144,6 +158,11 @@
               ? std::to_string(service_->view_.targets_[found.placed_->target_].granted_)
               : ""}});
     limited_ = found.end_ == routing::search_end::limited;
+    if (!found.placed_ && !attempt.is_hedge_ && service_->reach_.lost_at_ && may_relay()) {
+        retry_after_ = found.retry_after_;
+        begin_relay(attempt);
+        return;
+    }
     if (!in_time) {
         retry_after_ = found.retry_after_;
         connect_attempt(attempt, nullptr);
@@ -210,8 +229,10 @@
     http_task_.loop().cancel(std::exchange(attempt.open_timer_, 0));
     attempt.sent_ = now;
     dispatch::on_attempt_sent(state_, attempt.id_);
-    admission::on_request_sent(http_task_.request_quarantine(), fingerprint_, attempt.target_name_,
-                               now);
+    if (!attempt.relay_) {
+        admission::on_request_sent(http_task_.request_quarantine(), fingerprint_,
+                                   attempt.target_name_, now);
+    }
 
     forwarded_fields added;
     added.traceparent_ = telemetry::outgoing_traceparent(trace_, attempt.span_);
@@ -220,6 +241,7 @@
     added.allow_inner_retries_ = false;
     upstream_connection& connection = *attempt.connection_;
     added.expect_instance_ = attempt.instance_;
+    added.relayed_caller_ = attempt.relay_ ? std::string{caller_ip()} : std::string{};
     connection.send_head(upstream_request_text(head_, added, http_task_.config().header_names_),
                          head_.method_ == "HEAD");
     if (!body_.empty()) {
@@ -236,7 +258,9 @@
     else {
         caller_.resume_reading();
     }
-    arm_hedge();
+    if (!attempt.relay_) {
+        arm_hedge();
+    }
 }
 
 void proxied_call::send_body_to(upstream_connection& connection, std::string_view bytes)
@@ -279,6 +303,25 @@
     if (!std::exchange(attempt.in_flight_, false)) {
         return;
     }
+    if (!attempt.relay_) {
+        report_end_at_target(attempt, end, finished);
+    }
+    const time_point now = http_task_.loop().now();
+    http_task_.metrics().attempts_[end].Increment();
+    telemetry::decided("attempt_ended", request_id_,
+                       {{"attempt", std::to_string(attempt.id_)},
+                        {"target", attempt.target_name_},
+                        {"instance", attempt.instance_},
+                        {"fingerprint", log_fingerprint(fingerprint_)},
+                        {"end", std::string{to_string(end)}},
+                        {"status", std::to_string(attempt.status_)},
+                        {"taken_ms", log_ms(now - attempt.sent_)}});
+    record_attempt(attempt, finished);
+}
+
+void proxied_call::report_end_at_target(attempt_exchange& attempt, routing::attempt_end end,
+                                        bool finished)
+{
     const time_point now = http_task_.loop().now();
     if (finished && attempt.status_ >= status_server_error) {
         end = routing::attempt_end::failed;
@@ -305,16 +348,6 @@
                                                              : upstream_end::other;
         http_task_.on_upstream_request_ended(fingerprint_, attempt.target_name_, upstream);
     }
-    http_task_.metrics().attempts_[end].Increment();
-    telemetry::decided("attempt_ended", request_id_,
-                       {{"attempt", std::to_string(attempt.id_)},
-                        {"target", attempt.target_name_},
-                        {"instance", attempt.instance_},
-                        {"fingerprint", log_fingerprint(fingerprint_)},
-                        {"end", std::string{to_string(end)}},
-                        {"status", std::to_string(attempt.status_)},
-                        {"taken_ms", log_ms(now - attempt.sent_)}});
-    record_attempt(attempt, finished);
 }
 
 // Forwards the received part of the attempt's answer. The first call also cancels the other
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -281,7 +281,8 @@
 // rather than cut; then, or when there was no probe left to send, earlier reports decide.
 std::optional<routing::placed_attempt> target_search::place_without_answer()
 {
-    const bool is_link_alive = http_task_.heard_at() > started_;
+    const bool is_link_alive = http_task_.heard_at() > started_ &&
+                               routing::is_heard_lately(service_.reach_, http_task_.loop().now());
     if (progress_.answered_ > 0 || (progress_.sent_ > 0 && !is_link_alive)) {
         return std::nullopt;
     }
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -296,6 +296,7 @@
     object_reader in{at};
     in.required("address", out.address_);
     in.optional("hosts", out.hosts_, {0, 64});
+    in.optional("relay", out.relay_);
     in.optional("patience_ms", out.patience_, short_time_ms);
     in.reject_unknown();
 }
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -129,6 +129,9 @@
     std::vector<endpoint> hosts_; // hosts to read the feed from; may include this host
     // How long a starting host waits for another host's first message before it asks the store.
     milliseconds patience_{30};
+    // Where this host takes requests of hosts that reach no target of a service; callers must not
+    // reach it. None: such requests are neither taken nor handed on.
+    std::optional<endpoint> relay_;
 };
 
 // Routes, services and targets come from a store that entry hosts follow.
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -126,6 +126,9 @@
         counter(registry, "quarantined_requests_total", "Requests refused for crashing targets."),
         gauge(registry, "suspects", "Requests known to have been in flight at a crash."),
         gauge(registry, "services_unreachable", "Services of which this host reaches no target."),
+        register_counter_set<decltype(metrics::relayed_requests_)>(
+            registry, "relayed_requests_total", "Requests handed from one entry host to another.",
+            "direction", directions),
         register_counter_set<decltype(metrics::refusals_)>(registry, "admission_refusals_total",
                                                            "Requests that admission refused.",
                                                            "reason", refusals),
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -74,6 +74,7 @@
     prometheus::Counter& quarantined_requests_;
     prometheus::Gauge& suspects_;
     prometheus::Gauge& services_unreachable_;
+    counter_set<direction, direction::received> relayed_requests_;
 
     counter_set<admission::refusal, admission::refusal::overload>
         refusals_; // refusal::none is never counted
--- a/tests/crashing_request_hosts_test.cpp
+++ b/tests/crashing_request_hosts_test.cpp
@@ -117,7 +117,7 @@
         settings::settings config = directory_settings(store.port());
         config.host_.id_ = fmt::format("host-{}", number);
         config.directory_->drain_ = settings::seconds{2};
-        settings::directory_feed feed{feed_address(number), {}, 30ms};
+        settings::directory_feed feed{feed_address(number), {}, 30ms, {}};
         for (int each = 0; each < 3; ++each) {
             feed.hosts_.push_back(feed_address(each));
         }
--- a/tests/cut_off_host_test.cpp
+++ b/tests/cut_off_host_test.cpp
@@ -90,10 +90,11 @@
             directory_settings(stores[static_cast<std::size_t>(number)]->port());
         config.host_.id_ = fmt::format("host-{}", number);
         config.directory_->drain_ = settings::seconds{2};
-        settings::directory_feed feed{feed_address(number), {}, 30ms};
+        settings::directory_feed feed{feed_address(number), {}, 30ms, {}};
         for (int each = 0; each < 3; ++each) {
             feed.hosts_.push_back(feed_address(each));
         }
+        feed.relay_ = feed_address(number + 3);
         config.directory_->feed_ = feed;
         return config;
     }
@@ -105,9 +106,10 @@
         }
         for (int host = 0; host < 3; ++host) {
             stores.push_back(std::make_unique<scripted_store>());
-            stores.back()->put("config", "main",
-                               state_json(1, {route_json("look", "/look/", "safe", "ledger"),
-                                              route_json("sell", "/sell/", "unsafe", "ledger")}));
+            auto state = state_json(1, {route_json("look", "/look/", "safe", "ledger"),
+                                        route_json("sell", "/sell/", "unsafe", "ledger")});
+            state["limits"]["max_body_bytes"] = 1000000;
+            stores.back()->put("config", "main", state);
             paths.emplace_back();
             for (const auto& target : targets) {
                 paths.back().push_back(std::make_unique<tests::relay>(target->port()));
@@ -131,6 +133,27 @@
         }
     }
 
+    std::string call(std::size_t host, const std::string& path, const std::string& fields,
+                     const std::string& body = "")
+    {
+        static std::atomic<int> id = 1000000;
+        test_client caller{hosts[host]->port()};
+        caller.send(fmt::format("POST {} HTTP/1.1\r\nHost: a.example\r\nX-Id: {}\r\n"
+                                "X-Deadline-Ms: 1000\r\n{}Content-Length: {}\r\n\r\n{}",
+                                path, ++id, fields, body.size(), body));
+        return caller.read_answer();
+    }
+
+    // Requests that the second and third host have taken from others.
+    std::size_t handed_on()
+    {
+        std::size_t all = 0;
+        for (std::size_t host = 1; host < hosts.size(); ++host) {
+            hosts[host]->run([&](http::http_task& task) { all += task.relayed_calls_total(); });
+        }
+        return all;
+    }
+
     // Sends requests to the host one after the other for a time.
     served call_for(std::size_t host, duration time)
     {
@@ -174,3 +197,105 @@
     start(4);
     check_served(path_cut::silent);
 }
+
+TEST(cut_off_host, callers_of_a_host_whose_connections_are_reset_and_refused_are_refused)
+{
+    start(4);
+    check_served(path_cut::reset);
+}
+
+TEST(cut_off_host, callers_are_refused_while_open_connections_live_on_and_new_ones_are_refused)
+{
+    start(4);
+    call_for(0, 500ms);
+    check_served(path_cut::refuse_new);
+}
+
+TEST(cut_off_host, callers_of_a_service_with_a_single_target_are_refused)
+{
+    start(1);
+    check_served(path_cut::silent);
+}
+
+TEST(cut_off_host, a_host_hands_requests_on_after_its_targets_are_back)
+{
+    start(4);
+    cut(0, path_cut::reset);
+    call_for(0, 500ms);
+    cut(0, path_cut::none);
+    call_for(0, 1s);
+    const auto before = handed_on();
+    const served here = call_for(0, 500ms);
+    CHECK_EQUAL(here.all_, here.answered_);
+    LONGS_EQUAL(before, handed_on());
+}
+
+TEST(cut_off_host, callers_wait_where_no_host_reaches_a_target)
+{
+    start(4);
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        cut(host, path_cut::silent);
+    }
+    call_for(0, 2s);
+    const served here = call_for(0, 1s);
+    LONGS_EQUAL(0, here.answered_);
+    LONGS_EQUAL(0, here.slow_);
+    const std::string refused = call(0, "/sell/7", "");
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    STRCMP_CONTAINS("not-run", refused.c_str());
+    STRCMP_CONTAINS("Retry-After", refused.c_str());
+}
+
+TEST(cut_off_host, a_cut_that_comes_and_goes_leaves_callers_without_answers)
+{
+    start(4);
+    served all;
+    for (int i = 0; i < 6; ++i) {
+        cut(0, i % 2 == 0 ? path_cut::reset : path_cut::none);
+        const served some = call_for(0, 500ms);
+        all.all_ += some.all_;
+        all.answered_ += some.answered_;
+    }
+    CHECK_TEXT(3 * all.answered_ >= 2 * all.all_,
+               fmt::format("{} of {} served", all.answered_, all.all_).c_str());
+}
+
+TEST(cut_off_host, a_caller_poses_as_an_entry_host)
+{
+    start(2);
+    const std::string answer =
+        call(0, "/look/7", "Savoryscale-Caller: 10.0.0.9\r\nSavoryscale-Targets-Unreached: 1\r\n");
+    STRCMP_CONTAINS("done", answer.c_str());
+    for (const auto& target : targets) {
+        for (const auto& [id, request] : target->runs()) {
+            CHECK(request.find("Savoryscale-Caller") == std::string::npos);
+            CHECK(request.find("Savoryscale-Targets-Unreached") == std::string::npos);
+        }
+    }
+}
+
+TEST(cut_off_host, a_request_that_is_handed_on_changes_on_the_way)
+{
+    start(2);
+    cut(0, path_cut::reset);
+    call_for(0, 300ms);
+    const std::string body(60000, 'b');
+    const std::string answer = call(0, "/sell/7?a=b", "X-Own: 7\r\n", body);
+    CHECK(answer.ends_with("done" + body));
+    CHECK(answer.find("X-Seal: s\r\n") != std::string::npos);
+    int found = 0;
+    for (const auto& target : targets) {
+        for (const auto& [id, request] : target->runs()) {
+            if (request.find("/sell/7?a=b HTTP/1.1\r\n") == std::string::npos) {
+                continue;
+            }
+            ++found;
+            STRCMP_EQUAL("7", field_of(request, "X-Own").c_str());
+            STRCMP_EQUAL(id.c_str(), field_of(answer, "X-Id").c_str());
+            CHECK(std::stoi(field_of(request, "X-Deadline-Ms")) <= 1000);
+            CHECK(request.find("Savoryscale-Caller") == std::string::npos);
+            CHECK(request.ends_with("\r\n\r\n" + body));
+        }
+    }
+    LONGS_EQUAL(1, found);
+}
--- a/tests/directory_feed_test.cpp
+++ b/tests/directory_feed_test.cpp
@@ -18,7 +18,7 @@
 {
     settings::settings config = directory_settings(store_port);
     config.directory_->drain_ = settings::seconds{drain_s};
-    settings::directory_feed feed{{"127.0.0.1", 0}, {}, std::chrono::seconds{2}};
+    settings::directory_feed feed{{"127.0.0.1", 0}, {}, std::chrono::seconds{2}, {}};
     for (const std::uint16_t port : ports) {
         feed.hosts_.push_back({"127.0.0.1", port});
     }
--- a/tests/limit_hosts_test.cpp
+++ b/tests/limit_hosts_test.cpp
@@ -110,7 +110,7 @@
             config.host_.id_ = fmt::format("host-{}", i);
             config.directory_->drain_ = settings::seconds{2};
             config.header_names_.limit_ = "X-Limit";
-            settings::directory_feed feed{feed_address(i), {}, 30ms};
+            settings::directory_feed feed{feed_address(i), {}, 30ms, {}};
             for (int each = 0; each < count; ++each) {
                 feed.hosts_.push_back(feed_address(each));
             }
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -47,7 +47,7 @@
     {
         settings::settings config = directory_settings(store_port);
         config.directory_->drain_ = settings::seconds{drain_s};
-        settings::directory_feed feed{{"127.0.0.1", 0}, {}, 30ms};
+        settings::directory_feed feed{{"127.0.0.1", 0}, {}, 30ms, {}};
         for (const std::uint16_t port : peers) {
             feed.hosts_.push_back({"127.0.0.1", port});
         }
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -321,6 +321,7 @@
         events.on_peer_request_ = [this](std::string_view path) {
             return http_task_->answer_peer(path);
         };
+        events.unreached_services_ = [this] { return http_task_->unreached_services(); };
         events.on_suspicions_ = [this](const std::vector<peer::fact>& suspicions) {
             http_task_->receive_suspicions(suspicions);
         };
@@ -328,8 +329,9 @@
             http_task_->suspicion_reports().report_all(peer);
         };
         directory_ = std::make_unique<directory::directory_task>(
-            *loop_, *config_.directory_, platform::dialect(), config_.host_.id_, 2,
-            std::move(events));
+            *loop_, *config_.directory_, platform::dialect(), config_.host_, 2, std::move(events));
+        http_task_->relays().set_known_hosts(
+            [this] { return directory_->known_hosts(config_.host_.data_centre_); });
         port_ = http_task_->open().value();
         feed_port_ = directory_->start().value();
         thread_ = std::thread{[this] { loop_->run([this] { http_task_->run_posted(); }); }};
