Use the other targets when one entry is nested deeply or out of range

An entry nested 400,000 deep ends the process by a stack overflow when its value is copied; a number beyond the range of a double, or bytes that are not UTF-8, make the whole list unreadable, so that a host stops following it; one invalid target in a page of another host does the same. Ruled out: a port out of range in the store's entry; it was skipped already. Change: a list is read with null in place of what cannot be represented, and the entry is then refused like any other malformed one; a page of another host is read without its invalid targets, which are logged.

--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -3,6 +3,7 @@
 #include "directory/dialect.hpp"
 #include "http/event_loop.hpp"
 #include "http/log_fields.hpp"
+#include "store/tolerant_json.hpp"
 #include "telemetry/log.hpp"
 
 #include <algorithm>
@@ -296,7 +297,7 @@
         }
     }
     if (page.version_ > version_ && !page.document_.empty()) {
-        const auto value = nlohmann::json::parse(page.document_, nullptr, false);
+        const auto value = store::parse_tolerantly(page.document_);
         apply_desired_state(value, page.document_, page.configuration_revision_);
     }
     if (page.version_ != version_) {
@@ -317,6 +318,10 @@
     else {
         store_down_since_.reset();
     }
+    for (const std::string& id : page.rejected_targets_) {
+        log_rejected_entry(id, {error_kind::invalid, id, "a field is missing or invalid",
+                                "run compatible releases on all entry hosts"});
+    }
     apply_page_targets(page, now);
     if (!page.suspicions_.empty() && events_.on_suspicions_) {
         events_.on_suspicions_(page.suspicions_);
--- a/src/directory/feed_page.hpp
+++ b/src/directory/feed_page.hpp
@@ -25,9 +25,10 @@
     duration age_{};                     // time since the store confirmed this data
     std::uint64_t store_era_ = 0;        // in which the revisions count; 0: not known
     std::uint64_t targets_revision_ = 0; // store revision up to which targets are known
-    std::uint64_t configuration_revision_ = 0; // the same for the desired state
-    std::vector<feed_target> targets_;         // oldest first
-    std::uint64_t version_ = 0;                // of the desired state
+    std::uint64_t configuration_revision_ = 0;  // the same for the desired state
+    std::vector<feed_target> targets_;          // oldest first
+    std::vector<std::string> rejected_targets_; // ids of entries that could not be read
+    std::uint64_t version_ = 0;                 // of the desired state
     std::string document_; // the desired state as stored; empty: the reader already has it
     std::vector<peer::fact> suspicions_; // changed since the reader's position
 };
--- a/src/peer/feed_wire.cpp
+++ b/src/peer/feed_wire.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <optional>
 #include <utility>
 
 namespace savoryscale::peer {
@@ -61,7 +62,7 @@
     return !text.empty() && text.size() <= name_max_bytes;
 }
 
-result<directory::feed_target> read_target(const wire::Target& in)
+std::optional<directory::feed_target> read_target(const wire::Target& in)
 {
     directory::feed_target target;
     directory::target_entry& entry = target.entry_;
@@ -71,7 +72,7 @@
     const bool entry_good = is_name(in.service()) && is_name(in.ip()) &&
                             is_name(in.data_centre()) && port_good && in.slots() > 0;
     if (!is_name(entry.id_) || (!target.gone_ && !entry_good)) {
-        return tl::unexpected(invalid("a target has a missing or invalid field"));
+        return std::nullopt;
     }
     entry.service_ = in.service();
     entry.address_ = {in.ip(), static_cast<std::uint16_t>(in.port())};
@@ -170,11 +171,12 @@
     page.document_ = std::move(*document);
     page.suspicions_ = read_suspicions(in);
     for (const wire::Target& each : in.targets()) {
-        auto target = read_target(each);
-        if (!target) {
-            return tl::unexpected(target.error());
+        if (auto target = read_target(each)) {
+            page.targets_.push_back(std::move(*target));
+        }
+        else {
+            page.rejected_targets_.push_back(each.id().substr(0, name_max_bytes));
         }
-        page.targets_.push_back(std::move(*target));
     }
     return page;
 }
--- a/src/peer/feed_wire.hpp
+++ b/src/peer/feed_wire.hpp
@@ -13,7 +13,8 @@
 // Encodes a page. A large desired state is compressed.
 std::string write_feed_page(const directory::feed_page& page);
 
-// Decodes a page. Errors: invalid, when it does not parse or any field exceeds its limit.
+// Decodes a page without the targets and suspicions that are malformed. Errors: invalid, when it
+// does not parse or any other field exceeds its limit.
 result<directory::feed_page> read_feed_page(std::string_view bytes);
 
 } // namespace savoryscale::peer
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -263,3 +263,48 @@
     read_text(std::string(100000, '['));
     read_text("\xff\xfe{}");
 }
+
+TEST(platform_adapter, one_odd_entry_hides_all_other_targets)
+{
+    const auto item = [](const std::string& name, const std::string& spec) {
+        return R"({"metadata":{"name":")" + name + R"(","revision":4,"created":1},"spec":)" + spec +
+               "}";
+    };
+    const auto with = [](const std::string& field, const std::string& value) {
+        json spec = server;
+        spec.erase(field);
+        std::string text = spec.dump();
+        return text.insert(1, "\"" + field + "\":" + value + ",");
+    };
+    constexpr std::size_t depth = 400000;
+    const std::string deep = std::string(depth, '[') + std::string(depth, ']');
+    std::string deep_object;
+    for (std::size_t i = 0; i < depth / 4; ++i) {
+        deep_object += R"({"a":)";
+    }
+    deep_object += "1" + std::string(depth / 4, '}');
+    for (const std::string& odd :
+         {deep, deep_object, with("slots", "1e999"), with("slots", "-1e400"),
+          with("address", R"("10.128.0.9:99999")"), with("slots", std::string(400, '9')),
+          with("service", deep), with("service", "\"\xff\xfe\""),
+          with("warmup_left_s", std::string(400, '9') + ".5")}) {
+        const std::string text = R"({"items":[)" + item("i-1", server.dump()) + "," +
+                                 item("odd", odd) + "," + item("i-2", server.dump()) +
+                                 R"(],"has_more":false,"store_revision":9})";
+        const auto page = platform::dialect().read_list_(text);
+        CHECK_TEXT(page.has_value(), odd.substr(0, 60).c_str());
+        std::set<std::string> used;
+        for (const directory::stored_object& object : page->objects_) {
+            const directory::stored_object copy = object;
+            if (platform::dialect().read_target_(copy.name_, copy.value_)) {
+                used.insert(copy.name_);
+            }
+        }
+        CHECK_TEXT((used == std::set<std::string>{"i-1", "i-2"}), odd.substr(0, 60).c_str());
+        const std::string changes = R"({"events":[{"object":)" + item("odd", odd) +
+                                    R"(,"deleted":false},{"object":)" + item("i-2", server.dump()) +
+                                    R"(,"deleted":false}],"store_revision":9})";
+        const auto changed = platform::dialect().read_changes_(changes);
+        CHECK_TEXT(changed && changed->objects_.size() == 2, odd.substr(0, 60).c_str());
+    }
+}
