Log a target's error as a failed attempt again

Change: the end is decided before it is reported. Result: by reading; all tests pass, none of them reads this line.

--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -303,6 +303,9 @@
     if (!std::exchange(attempt.in_flight_, false)) {
         return;
     }
+    if (finished && attempt.status_ >= status_server_error) {
+        end = routing::attempt_end::failed;
+    }
     if (!attempt.relay_) {
         report_end_at_target(attempt, end, finished);
     }
@@ -323,9 +326,6 @@
                                         bool finished)
 {
     const time_point now = http_task_.loop().now();
-    if (finished && attempt.status_ >= status_server_error) {
-        end = routing::attempt_end::failed;
-    }
     const routing::target_state& target = service_->view_.targets_[attempt.target_];
     const time_point ejected_before = target.ejected_until_;
     routing::on_attempt_ended(service_->view_,
