Take a refusal as proof only if it names the request

A target that writes an earlier refusal once more on a kept connection, such as one to a probe, which has no id, made the next request count as not run: it was answered 503, or sent to a second target, while the first one ran it. Ruled out: a refusal with the id of another request; it is discarded. Change: where targets echo the callers' ids, only a refusal with the request's own id proves anything.

--- a/src/http/attempt_exchange.cpp
+++ b/src/http/attempt_exchange.cpp
@@ -18,9 +18,14 @@
 
 constexpr int status_other_server = 421; // the address belongs to another server now
 
-// Whether the settings declare such an answer as proof that the request was not run.
-bool proves_not_run(const answer_head& head, const settings::service& service)
+// Whether the settings declare such an answer as proof that the request was not run. Where targets
+// echo the caller's id, an answer without it may be one to an earlier request, written once more.
+bool proves_not_run(const answer_head& head, const settings::service& service,
+                    const settings::header_names& names)
 {
+    if (names.caller_sets_request_id_ && !has_field(head, names.request_id_)) {
+        return false;
+    }
     const auto& statuses = service.not_run_statuses_;
     if (std::find(statuses.begin(), statuses.end(), head.status_) != statuses.end()) {
         return true;
@@ -85,7 +90,7 @@
     if (load_ && load_->draining_) {
         call.http_task_.on_target_draining(*call.service_, target_);
     }
-    if (proves_not_run(head, call.service_->config_)) {
+    if (proves_not_run(head, call.service_->config_, names)) {
         connection_->abandon();
         call.fail_attempt(*this, dispatch::attempt_failure::shed);
         return true;
