Reach the bound on bodies for good before the test sends one more

Cause: body_memory.uploads_beyond_the_bound failed once at a load of 16: 502 in place of 503, after 7.7 s in place of 4.2 s. The test stopped adding uploads at the first measurement over the bound; while the last upload's bytes were still on their way into the kernel, that was a moment's value. The upload that followed was then taken, below the bound, and failed when its target closed after its 4 s, which is the extra time. Evidence: with 1 ms in place of 15 ms between an upload and the measurement the same failure shows (502, one of four runs); after the loop 770 to 793 KiB are held, the bound is 768. Ruled out: targets that close early (18 runs with 250 to 640 ms in place of 4 s pass). Change: uploads are added until ten measurements in a row, 12 ms apart, are over the bound. The checks are as they were. Seen besides: uploads that arrive within one interval of 10 ms can exceed a bound of 1 MB together; with the default of 32 MB that takes dozens of them.

--- a/tests/body_memory_test.cpp
+++ b/tests/body_memory_test.cpp
@@ -145,11 +145,23 @@
             accepts = admission::accepts_body(task.measured_body_memory());
         });
     };
-    for (int i = 0; i < 100 && accepts; ++i) {
+    // Bytes on their way are counted before the kernel takes some of them.
+    const auto is_bound_reached = [&] {
+        for (int i = 0; i < 10; ++i) {
+            std::this_thread::sleep_for(12ms);
+            measure();
+            if (accepts) {
+                return false;
+            }
+        }
+        return true;
+    };
+    for (int i = 0; i < 100; ++i) {
         callers.push_back(std::make_unique<test_client>(host.port()));
         senders.emplace_back([&, caller = callers.back().get()] { caller->send(begin); });
-        std::this_thread::sleep_for(15ms);
-        measure();
+        if (is_bound_reached()) {
+            break;
+        }
     }
     CHECK(!accepts);
     test_client late{host.port()};
