--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -106,7 +106,7 @@
         loop_.after(load_interval, [this] { report_load_to_admission(); });
     }
     if (relay_hosts_.is_enabled()) {
-        const auto opened =
+        auto opened =
             loop_.listen(*config_.directory_->feed_->relay_, std::nullopt, accept_callers(true));
         if (!opened) {
             return opened;
