End the search for another host with the attempt that wants it

Cause: found by reading. A second attempt beside an unanswered one can be looking for another host when the first is answered; its search went on, and the request would have been sent again after its answer. Change: cancelling an attempt ends that search. An attempt that is handed on once more starts without the status of the answer before. Result: 57 of 57 tests pass; no test plays this moment.

--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -281,6 +281,7 @@
     attempt_exchange& attempt = exchanges_[id];
     http_task_.loop().cancel(std::exchange(attempt.open_timer_, 0));
     attempt.search_.reset();
+    http_task_.relays().cancel(std::exchange(relay_search_, 0)); // of the last attempt
     if (!attempt.in_flight_) {
         return;
     }
--- a/src/http/proxied_call_relay.cpp
+++ b/src/http/proxied_call_relay.cpp
@@ -69,6 +69,7 @@
     attempt.connected_ = false;
     attempt.pool_ = chosen.pool_;
     attempt.target_name_ = "host " + to_string(chosen.address_);
+    attempt.status_ = 0;
     attempt.started_ = now;
     attempt.sent_ = now;
     attempt.request_id_ = request_id_;
