--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -305,13 +306,14 @@
         self.name, self.ip = f"front-{number}", f"127.0.0.{10 + number}"
         base = deployment.base_port
         self.front, self.ready_port, self.control, self.internal = base, base + 1, base + 2, base + 3
+        self.zone = "zone-a"
         self.process = None
         self.in_touch_from = 0.0  # time from which the machine is in touch; infinite while it is down
 
     def settings(self, bootstrap):
         deployment = self.deployment
         seeds = [f"{host.ip}:{host.control}" for host in deployment.hosts[:deployment.seed_count]]
-        values = {"node": self.name, "zone": "zone-a", "region": "region-1", "ip": self.ip, "bootstrap": bootstrap,
+        values = {"node": self.name, "zone": self.zone, "region": "region-1", "ip": self.ip, "bootstrap": bootstrap,
                   "listen": {"front": f"{self.ip}:{self.front}", "ready": f"{self.ip}:{self.ready_port}",
                              "control": f"{self.ip}:{self.control}"},
                   "internal_ports": [self.internal, self.internal + 1], "seeds": seeds,
@@ -352,7 +354,8 @@
     async def kill(self, quietly=False):
         """SIGKILL to this run's own process."""
         if self.process and self.process.returncode is None:
-            self.process.kill()
+            with contextlib.suppress(ProcessLookupError):  # it has just ended by itself
+                self.process.kill()
             await self.process.wait()
         self.in_touch_from = float("inf")
         if not quietly:
@@ -366,8 +369,7 @@
         try:
             await asyncio.wait_for(self.process.wait(), BOUNDS["grace_s"])
         except asyncio.TimeoutError:
-            self.process.kill()
-            await self.process.wait()
+            await self.kill(quietly=True)
         self.deployment.record(f"{self.name} has ended")
 
 
