--- a/review/build.sh
+++ b/review/build.sh
@@ -6,4 +6,4 @@
 for file in common/*.py [1-5]/*.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
-python3 -c 'import asyncio, sys; sys.exit("Python 3.10 or newer is needed") if sys.version_info < (3, 10) else None'
+python3 -c 'import asyncio, sys; sys.exit("Python 3.9 or newer is needed") if sys.version_info < (3, 9) else None'
