Add the interfaces of organisations, emptied data centres, cold targets and send checks

Nothing read the organisations of a desired state, so callers' keys went through to targets.

Change: the desired state carries organisations with keys, allotment and priority, routes that need no key, and services with their warm-up; malformed organisations leave the state in force untouched. Feed pages have room for the emptied data centres, lists of hosts name the formats that a host reads, and requests of an organisation are handed only to hosts that read its name. The checks before a request is sent have one order and one type of cause. The first of them, whose request it is, is made: an unknown key is refused with 401, the target gets the organisation's name, and the check is repeated when the request is sent. A desired state without organisations means what it meant before.

--- a/src/directory/dialect.hpp
+++ b/src/directory/dialect.hpp
@@ -20,6 +20,8 @@
     std::string_view configuration_kind_; // kind of the desired state
     std::string_view configuration_name_;
     std::string_view targets_kind_;
+    std::string_view
+        emptied_kind_;           // one object for each data centre that is to be emptied, by name
     std::string_view era_field_; // header field of an answer that names the store's era
 
     // Path and query of the GET request that lists or watches a kind.
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -338,7 +338,7 @@
     if (!config_.feed_ || !config_.feed_->relay_) {
         return std::nullopt;
     }
-    announced_host own{*config_.feed_->relay_, data_centre_, {}};
+    announced_host own{*config_.feed_->relay_, data_centre_, {}, peer::own_formats};
     if (events_.unreached_services_) {
         own.unreached_ = events_.unreached_services_();
     }
--- a/src/directory/feed_page.hpp
+++ b/src/directory/feed_page.hpp
@@ -8,6 +8,7 @@
 #include "peer/fact.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,15 @@
     bool gone_ = false;
 };
 
+// The data centres whose targets are to get no requests.
+struct emptied_data_centres {
+    std::vector<std::string> names_; // sorted
+    duration age_{};                 // time since the store confirmed them
+    std::uint64_t revision_ = 0;     // store revision up to which they are known
+
+    friend bool operator==(const emptied_data_centres&, const emptied_data_centres&) = default;
+};
+
 struct feed_page {
     std::uint64_t epoch_ = 0;            // of the sender; sequences are valid within one epoch only
     std::uint64_t sequence_ = 0;         // position to continue from
@@ -31,6 +41,8 @@
     std::uint64_t version_ = 0;                 // of the desired state
     std::string document_; // the desired state as stored; empty: the reader already has it
     std::vector<peer::fact> suspicions_; // changed since the reader's position
+    // The data centres to be emptied, all of them; none: the sender does not follow them.
+    std::optional<emptied_data_centres> emptied_;
 };
 
 // The position in the feed up to which a reader has the data.
--- a/src/directory/host_table.cpp
+++ b/src/directory/host_table.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t name_max = 64;
 constexpr int hexadecimal = 16;
 
+// A list of hosts names a host's formats as one more service, with this value plus their number.
+// Releases before the first formats pass it on without a meaning.
+constexpr service_hash formats_marker = 0xffff0000;
+constexpr peer::format_number formats_max = 0xff;
+
 bool is_plain_name(std::string_view name)
 {
     return name.size() <= name_max && std::all_of(name.begin(), name.end(), [](char each) {
@@ -53,10 +58,15 @@
         const char* end = part.data() + part.size();
         const auto parsed = std::from_chars(part.data(), end, hash, hexadecimal);
         if (parsed.ec != std::errc{} || parsed.ptr != end ||
-            host.unreached_.size() == unreached_services_max) {
+            host.unreached_.size() > unreached_services_max) {
             return std::nullopt;
         }
-        host.unreached_.push_back(hash);
+        if (hash > formats_marker && hash <= formats_marker + formats_max) {
+            host.formats_ = hash - formats_marker;
+        }
+        else {
+            host.unreached_.push_back(hash);
+        }
     }
     return host;
 }
@@ -74,10 +84,12 @@
     for (const announced_host& host : hosts) {
         text += fmt::format("{}={}=", to_string(host.relay_),
                             is_plain_name(host.data_centre_) ? host.data_centre_ : "");
-        const std::size_t count = std::min(host.unreached_.size(), unreached_services_max);
-        for (std::size_t i = 0; i < count; ++i) {
-            text += fmt::format("{}{:x}", i == 0 ? "" : ",", host.unreached_[i]);
+        std::vector<service_hash> named = host.unreached_;
+        named.resize(std::min(named.size(), unreached_services_max));
+        if (host.formats_ != peer::first_formats) {
+            named.push_back(formats_marker + host.formats_);
         }
+        text += fmt::format("{:x}", fmt::join(named, ","));
         text += ';';
     }
     return text;
--- a/src/directory/host_table.hpp
+++ b/src/directory/host_table.hpp
@@ -5,6 +5,7 @@
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
+#include "peer/formats.hpp"
 #include "settings/settings.hpp"
 
 #include <cstddef>
@@ -22,13 +23,16 @@
 using service_hash = std::uint32_t;
 service_hash hash_of_service(std::string_view name);
 
-inline constexpr std::size_t unreached_services_max = 16;
+// One less than a list of hosts may name: a release before the first formats takes the number of
+// formats for a service too.
+inline constexpr std::size_t unreached_services_max = 15;
 
 // What a host says of itself with each request for the directory.
 struct announced_host {
     settings::endpoint relay_; // where it takes requests of other hosts
     std::string data_centre_;
     std::vector<service_hash> unreached_; // services of which no target answers it
+    peer::format_number formats_ = peer::first_formats;
 
     friend bool operator==(const announced_host&, const announced_host&) = default;
 };
--- a/src/directory/relay_book.cpp
+++ b/src/directory/relay_book.cpp
@@ -27,7 +27,7 @@
     book.excluded_until_[to_string(relay)] = now + relay_exclusion;
 }
 
-std::optional<settings::endpoint> choose_relay(const relay_book& book, service_hash service,
+std::optional<settings::endpoint> choose_relay(const relay_book& book, const relay_need& need,
                                                std::string_view data_centre,
                                                std::span<const settings::endpoint> tried,
                                                time_point now, random_source& random)
@@ -38,8 +38,9 @@
         const auto excluded = book.excluded_until_.find(address);
         const bool usable = (excluded == book.excluded_until_.end() || excluded->second <= now) &&
                             std::find(tried.begin(), tried.end(), host.relay_) == tried.end() &&
-                            std::find(host.unreached_.begin(), host.unreached_.end(), service) ==
-                                host.unreached_.end();
+                            host.formats_ >= need.formats_ &&
+                            std::find(host.unreached_.begin(), host.unreached_.end(),
+                                      need.service_) == host.unreached_.end();
         if (usable) {
             (host.data_centre_ == data_centre ? near : far).push_back(&host);
         }
--- a/src/directory/relay_book.hpp
+++ b/src/directory/relay_book.hpp
@@ -34,9 +34,15 @@
 
 void on_relay_failed(relay_book&, const settings::endpoint& relay, time_point now);
 
+// What a host must be able to do for a request that is handed to it.
+struct relay_need {
+    service_hash service_ = 0;
+    peer::format_number formats_ = peer::first_formats; // at least these
+};
+
 // A host that reaches the service's targets, as far as it has said, and was not tried: one in the
 // data centre if there is any, at random. None: there is no such host.
-std::optional<settings::endpoint> choose_relay(const relay_book&, service_hash service,
+std::optional<settings::endpoint> choose_relay(const relay_book&, const relay_need& need,
                                                std::string_view data_centre,
                                                std::span<const settings::endpoint> tried,
                                                time_point now, random_source& random);
--- a/src/http/head_text.cpp
+++ b/src/http/head_text.cpp
@@ -24,12 +24,16 @@
 constexpr std::array<std::string_view, 5> locally_set_fields{"Expect", outcome_field, "traceparent",
                                                              relayed_caller_field, unreached_field};
 
+// An address has no such part.
+constexpr std::string_view organisation_separator = "; organisation=";
+
 struct status_text {
     int status_;
     std::string_view text_;
 };
 
-constexpr std::array<status_text, 16> status_texts{{{400, "Bad Request"},
+constexpr std::array<status_text, 17> status_texts{{{400, "Bad Request"},
+                                                    {401, "Unauthorized"},
                                                     {403, "Forbidden"},
                                                     {404, "Not Found"},
                                                     {408, "Request Timeout"},
@@ -141,6 +145,10 @@
         fmt::format_to(std::back_inserter(text), "{}: {}\r\n", names.expect_instance_,
                        added.expect_instance_);
     }
+    if (!added.organisation_.empty() && !names.organisation_.empty()) {
+        fmt::format_to(std::back_inserter(text), "{}: {}\r\n", names.organisation_,
+                       added.organisation_);
+    }
     if (!added.relayed_caller_.empty()) {
         fmt::format_to(std::back_inserter(text), "{}: {}\r\n", relayed_caller_field,
                        added.relayed_caller_);
@@ -197,6 +205,25 @@
     return text;
 }
 
+std::string relayed_caller_text(const relayed_caller& caller)
+{
+    std::string text{caller.ip_};
+    if (!caller.organisation_.empty()) {
+        text.append(organisation_separator).append(caller.organisation_);
+    }
+    return text;
+}
+
+relayed_caller read_relayed_caller(const message_head& head)
+{
+    const std::string_view text = find_field(head, relayed_caller_field);
+    const std::size_t at = text.find(organisation_separator);
+    if (at == std::string_view::npos) {
+        return {text, {}};
+    }
+    return {text.substr(0, at), text.substr(at + organisation_separator.size())};
+}
+
 std::string chunk_text(std::string_view bytes)
 {
     if (bytes.empty()) {
--- a/src/http/head_text.hpp
+++ b/src/http/head_text.hpp
@@ -13,6 +13,9 @@
 
 namespace savoryscale::http {
 
+// Between entry hosts only.
+inline constexpr std::string_view relayed_caller_field = "Savoryscale-Caller";
+
 // Whether the field is not forwarded, because it applies to one connection only or because the load
 // balancer sets it itself.
 bool is_hop_by_hop(const message_head& head, std::string_view name,
@@ -23,7 +26,8 @@
     std::string traceparent_;         // empty: none
     std::string request_id_;          // the upstream may echo it; see has_matching_request_id
     std::string expect_instance_;     // the only instance that may run the request; empty: any
-    std::string relayed_caller_;      // address of the caller, for another host; empty: none
+    std::string relayed_caller_;      // see relayed_caller_text; empty: not for another host
+    std::string_view organisation_;   // whose caller sent the request; empty: not known
     duration remaining_{};            // time until the deadline
     bool allow_inner_retries_ = true; // false: adds a field that tells later hops not to retry
 };
@@ -55,13 +59,25 @@
 // Head and body of a locally generated answer. Answers to HEAD requests have no body.
 std::string local_answer_text(const local_answer& answer, bool without_body);
 
+// The caller of a request that one host hands to another. Hosts remove the field from the requests
+// of callers, releases before the first formats too.
+struct relayed_caller {
+    std::string_view ip_;
+    std::string_view organisation_; // empty: not known
+
+    friend bool operator==(const relayed_caller&, const relayed_caller&) = default;
+};
+
+// The value of relayed_caller_field, and its parts.
+std::string relayed_caller_text(const relayed_caller& caller);
+relayed_caller read_relayed_caller(const message_head& head);
+
 // One chunk of a chunked body, or the last chunk when `bytes` is empty.
 std::string chunk_text(std::string_view bytes);
 
 inline constexpr std::string_view outcome_field = "Savoryscale-Outcome";
 inline constexpr std::string_view no_retry_field = "Savoryscale-No-Retry";
 // Between entry hosts only.
-inline constexpr std::string_view relayed_caller_field = "Savoryscale-Caller";
 inline constexpr std::string_view unreached_field = "Savoryscale-Targets-Unreached";
 inline constexpr std::string_view idempotency_key_field = "Idempotency-Key";
 
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -44,6 +44,9 @@
 // Retry-After while the memory for bodies is used up: another host has room now.
 constexpr duration crowded_retry_after = 50ms;
 
+// Longer time limits of callers count as this.
+constexpr std::int64_t time_limit_max_ms = 86'400'000;
+
 constexpr int status_not_found = 404;
 constexpr int status_too_large = 413;
 constexpr int status_unavailable = 503;
@@ -54,16 +57,16 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-// The time limit that the caller requests, at most `longest`; `longest` without a valid one.
-duration deadline_of(const request_head& head, std::string_view field, duration longest)
+// The time limit that the caller states; none without a valid one.
+std::optional<duration> time_limit_of(const request_head& head, std::string_view field)
 {
     const std::string_view text = find_field(head, field);
     std::int64_t requested_ms = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), requested_ms);
     if (text.empty() || parsed.ec != std::errc{} || requested_ms <= 0) {
-        return longest;
+        return std::nullopt;
     }
-    return std::min<duration>(longest, std::chrono::milliseconds{requested_ms});
+    return std::chrono::milliseconds{std::min(requested_ms, time_limit_max_ms)};
 }
 
 } // namespace
@@ -114,6 +117,10 @@
             {status_not_found, "not-run", "no route has this host and path", std::nullopt, false});
         return;
     }
+    if (const auto checked = identify_caller(); !checked.is_passed()) {
+        refuse(checked);
+        return;
+    }
     const bool has_body = head_.chunked_ || head_.content_length_.value_or(0) > 0;
     if (has_body && !admission::accepts_body(http_task_.measured_body_memory())) {
         refuse({status_unavailable, "not-run",
@@ -157,10 +164,12 @@
     state_.rules_.may_hedge_ = config.hedge_ && !has_body;
     const duration longest =
         route_->timeout_ > duration::zero() ? route_->timeout_ : duration{config.deadline_};
-    deadline_ = now + deadline_of(head_, http_task_.config().header_names_.deadline_, longest);
+    caller_time_limit_ = time_limit_of(head_, http_task_.config().header_names_.deadline_);
+    deadline_ = now + std::min(longest, caller_time_limit_.value_or(longest));
     telemetry::decided("request_routed", request_id_,
                        {{"route", route_->name_},
                         {"service", config.name_},
+                        {"organisation", organisation_ != nullptr ? organisation_->name_ : ""},
                         {"version", std::to_string(routes_->state_.version_)},
                         {"caller", std::string{caller_ip()}},
                         {"from_host", is_relayed() ? std::string{caller_.ip()} : ""},
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -4,6 +4,7 @@
 // connection and the upstream connections of its attempts.
 
 #include "admission/quarantine.hpp"
+#include "admission/send_check.hpp"
 #include "base/clock.hpp"
 #include "dispatch/call.hpp"
 #include "dispatch/idempotency.hpp"
@@ -12,6 +13,7 @@
 #include "http/head.hpp"
 #include "http/head_text.hpp"
 #include "http/relay_hosts.hpp"
+#include "organisations/key_table.hpp"
 #include "routes/table.hpp"
 #include "routing/target.hpp"
 #include "telemetry/metrics.hpp"
@@ -81,6 +83,12 @@
     friend class attempt_exchange;
 
     void refuse(local_answer refusal);
+    void refuse(const admission::send_verdict& refused);
+    void refuse_before_sending(const admission::send_verdict& refused);
+    void count_refusal(admission::refusal_cause cause);
+    admission::send_verdict identify_caller();
+    admission::send_verdict check_caller_again() const;
+    std::uint32_t priority() const;
     void refuse_quarantined();
     void reject_oversized_body();
     std::size_t replay_limit();
@@ -137,6 +145,9 @@
     std::shared_ptr<const routes::table> routes_; // keeps route_ valid during the call
     const routes::route* route_ = nullptr;
     service_state* service_ = nullptr;
+    const organisations::organisation* organisation_ = nullptr; // of the caller; null: unknown
+    std::optional<organisations::key_digest> key_;              // that the caller sent
+    std::optional<duration> caller_time_limit_; // as the caller states it; none: it states none
     dispatch::call state_;
     std::array<attempt_exchange, dispatch::attempts_max> exchanges_;
     std::optional<dispatch::idempotency_claim> claim_;
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -108,7 +108,7 @@
         return;
     }
     const auto search = std::make_shared<target_search>(
-        http_task_, *service_, tried_targets(attempt.id_), !attempt.is_hedge_, route_->priority_,
+        http_task_, *service_, tried_targets(attempt.id_), !attempt.is_hedge_, priority(),
         objective_time(), time_left(),
         [this, &attempt](const search_result& found) { on_search_done(attempt, found); });
     attempt.search_ = search;
@@ -227,6 +227,10 @@
 {
     const time_point now = http_task_.loop().now();
     http_task_.loop().cancel(std::exchange(attempt.open_timer_, 0));
+    if (const auto checked = check_caller_again(); !checked.is_passed()) {
+        refuse_before_sending(checked);
+        return;
+    }
     attempt.sent_ = now;
     dispatch::on_attempt_sent(state_, attempt.id_);
     if (!attempt.relay_) {
@@ -241,7 +245,14 @@
     added.allow_inner_retries_ = false;
     upstream_connection& connection = *attempt.connection_;
     added.expect_instance_ = attempt.instance_;
-    added.relayed_caller_ = attempt.relay_ ? std::string{caller_ip()} : std::string{};
+    const std::string_view organisation =
+        organisation_ != nullptr ? std::string_view{organisation_->name_} : std::string_view{};
+    if (attempt.relay_) {
+        added.relayed_caller_ = relayed_caller_text({caller_ip(), organisation});
+    }
+    else {
+        added.organisation_ = organisation;
+    }
     connection.send_head(upstream_request_text(head_, added, http_task_.config().header_names_),
                          head_.method_ == "HEAD");
     if (!body_.empty()) {
--- a/src/http/proxied_call_relay.cpp
+++ b/src/http/proxied_call_relay.cpp
@@ -32,18 +32,19 @@
 // The caller's address, also when another host has handed the request on.
 std::string_view proxied_call::caller_ip() const
 {
-    const std::string_view named = is_relayed() ? find_field(head_, relayed_caller_field) : "";
+    const std::string_view named = is_relayed() ? read_relayed_caller(head_).ip_ : "";
     return named.empty() ? caller_.ip() : named;
 }
 
 void proxied_call::begin_relay(attempt_exchange& attempt)
 {
-    relay_search_ =
-        http_task_.relays().find(directory::hash_of_service(service_->config_.name_), tried_relays_,
-                                 [this, &attempt](const std::optional<relay_hosts::relay>& found) {
-                                     relay_search_ = 0;
-                                     on_relay_found(attempt, found);
-                                 });
+    relay_search_ = http_task_.relays().find(
+        {directory::hash_of_service(service_->config_.name_),
+         organisation_ != nullptr ? peer::organisation_formats : peer::first_formats},
+        tried_relays_, [this, &attempt](const std::optional<relay_hosts::relay>& found) {
+            relay_search_ = 0;
+            on_relay_found(attempt, found);
+        });
 }
 
 void proxied_call::on_relay_found(attempt_exchange& attempt,
--- a/src/http/relay_hosts.cpp
+++ b/src/http/relay_hosts.cpp
@@ -53,10 +53,10 @@
     resolve(true); // those asked before answer no more
 }
 
-std::uint64_t relay_hosts::find(directory::service_hash service,
+std::uint64_t relay_hosts::find(const directory::relay_need& need,
                                 std::vector<settings::endpoint> tried, found_function found)
 {
-    const waiting_call call{service, std::move(tried), std::move(found)};
+    const waiting_call call{need, std::move(tried), std::move(found)};
     if (directory::is_current(book_, loop_.now())) {
         call.found_(choose(call));
         return 0;
@@ -129,7 +129,7 @@
 
 std::optional<relay_hosts::relay> relay_hosts::choose(const waiting_call& call)
 {
-    const auto address = directory::choose_relay(book_, call.service_, config_.host_.data_centre_,
+    const auto address = directory::choose_relay(book_, call.need_, config_.host_.data_centre_,
                                                  call.tried_, loop_.now(), random_);
     if (!address) {
         return std::nullopt;
--- a/src/http/relay_hosts.hpp
+++ b/src/http/relay_hosts.hpp
@@ -52,7 +52,7 @@
 
     // Passes a host that reaches the service to `found`, possibly before this returns. Returns an
     // id for cancel(); 0 if `found` has been called.
-    std::uint64_t find(directory::service_hash service, std::vector<settings::endpoint> tried,
+    std::uint64_t find(const directory::relay_need& need, std::vector<settings::endpoint> tried,
                        found_function found);
     void cancel(std::uint64_t id) { waiting_.erase(id); }
 
@@ -63,7 +63,7 @@
 
 private:
     struct waiting_call {
-        directory::service_hash service_ = 0;
+        directory::relay_need need_;
         std::vector<settings::endpoint> tried_;
         found_function found_;
     };
--- a/src/peer/feed_wire.cpp
+++ b/src/peer/feed_wire.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t desired_state_max_bytes = std::size_t{2} << 20U;
 constexpr int targets_max = 20'000;
 constexpr std::size_t name_max_bytes = 256;
+constexpr int emptied_max = 1000;
 constexpr std::uint32_t suspicion_lifetime_max_s = 3600;
 
 // Longer times make no difference to readers.
@@ -98,6 +99,25 @@
     return all;
 }
 
+// A list with a name that cannot be read is not used: the reader follows the store instead.
+std::optional<directory::emptied_data_centres> read_emptied(const wire::FeedPage& in)
+{
+    if (!in.has_emptied() || in.emptied().names_size() > emptied_max) {
+        return std::nullopt;
+    }
+    directory::emptied_data_centres emptied;
+    for (const std::string& name : in.emptied().names()) {
+        if (!is_name(name)) {
+            return std::nullopt;
+        }
+        emptied.names_.push_back(name);
+    }
+    std::sort(emptied.names_.begin(), emptied.names_.end());
+    emptied.age_ = milliseconds{in.emptied().age_ms()};
+    emptied.revision_ = in.emptied().revision();
+    return emptied;
+}
+
 result<std::string> read_document(const wire::FeedPage& in)
 {
     if (in.desired_state().size() > desired_state_max_bytes ||
@@ -135,6 +155,14 @@
         written.set_crashes(suspicion.payload_);
         written.set_lifetime_s(suspicion.lifetime_s_);
     }
+    if (page.emptied_) {
+        wire::EmptiedDataCentres& written = *out.mutable_emptied();
+        for (const std::string& name : page.emptied_->names_) {
+            written.add_names(name);
+        }
+        written.set_age_ms(clamped_ms(page.emptied_->age_));
+        written.set_revision(page.emptied_->revision_);
+    }
     out.set_version(page.version_);
     if (page.document_.size() < compress_min_bytes) {
         out.set_desired_state(page.document_);
@@ -170,6 +198,7 @@
     page.version_ = in.version();
     page.document_ = std::move(*document);
     page.suspicions_ = read_suspicions(in);
+    page.emptied_ = read_emptied(in);
     for (const wire::Target& each : in.targets()) {
         if (auto target = read_target(each)) {
             page.targets_.push_back(std::move(*target));
--- a/src/routes/route.hpp
+++ b/src/routes/route.hpp
@@ -3,8 +3,10 @@
 // The desired state of an entry host: which requests go to which service, and their limits.
 
 #include "base/clock.hpp"
+#include "organisations/organisation.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,7 @@
     duration timeout_{};             // longest wait for a response; zero: the service's
     duration latency_objective_{};   // a later response is worth less; zero: none
     bool has_large_bodies_ = false;  // uploads: more of a body is kept for another attempt
+    bool needs_key_ = true;          // where the desired state lists organisations
     std::uint32_t priority_ = 0;     // 0 is served first when capacity is short
     std::uint32_t attempts_max_ = 3; // targets that one request may be sent to
     std::vector<weighted_service> weighted_services_; // never empty
@@ -44,6 +47,8 @@
     std::string name_;
     std::string probe_path_;
     std::uint32_t connections_per_target_ = 200; // total over all entry hosts
+    duration warm_up_{};                         // how long a target is cold after its start
+    double cold_per_second_ = 0; // requests that a cold target bears from all hosts; 0: any number
 
     friend bool operator==(const routed_service&, const routed_service&) = default;
 };
@@ -64,6 +69,8 @@
     std::vector<route> routes_;
     std::vector<routed_service> services_;
     request_limits limits_;
+    // None: callers carry no keys, and no organisation is known.
+    std::optional<std::vector<organisations::organisation>> organisations_{};
 };
 
 } // namespace savoryscale::routes
--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -56,6 +56,10 @@
 table make_table(desired_state state)
 {
     table made;
+    if (state.organisations_) {
+        made.keys_ = organisations::make_key_table(*state.organisations_);
+        state.organisations_.reset();
+    }
     made.state_ = std::move(state);
     const auto& all = made.state_.routes_;
     for (std::size_t i = 0; i < all.size(); ++i) {
--- a/src/routes/table.hpp
+++ b/src/routes/table.hpp
@@ -3,9 +3,11 @@
 // Finds the route of a request. A lookup costs one hash per slash of the path, independent of the
 // number of routes, plus a scan of the prefixes that do not end in '/'.
 
+#include "organisations/key_table.hpp"
 #include "routes/route.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -14,7 +16,8 @@
 namespace savoryscale::routes {
 
 struct table {
-    desired_state state_;
+    desired_state state_;                          // its organisations are in keys_ instead
+    std::optional<organisations::key_table> keys_; // none: callers carry no keys
     std::unordered_map<std::string, std::size_t> by_prefix_; // host, NUL, prefix that ends in '/'
     std::vector<std::size_t> prefixes_without_slash_;        // route indexes, longest prefix first
 };
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -263,6 +263,9 @@
     name("instance", out.instance_);
     name("load", out.load_);
     name("limit", out.limit_);
+    name("key", out.key_);
+    name("key_scheme", out.key_scheme_);
+    name("organisation", out.organisation_);
     in.optional("caller_sets_request_id", out.caller_sets_request_id_);
     in.reject_unknown();
 }
@@ -301,12 +304,33 @@
     in.reject_unknown();
 }
 
+static void read(const json_node& at, allotment_bounds& out, limits /*bounds*/)
+{
+    object_reader in{at};
+    in.optional("window_s", out.window_, short_time_s);
+    in.optional("overage", out.overage_, {0, 10});
+    in.optional("slack", out.slack_, {0, 1'000'000});
+    in.reject_unknown();
+}
+
+static void read(const json_node& at, cold_bounds& out, limits /*bounds*/)
+{
+    object_reader in{at};
+    in.optional("overage", out.overage_, {0, 10});
+    in.optional("slack", out.slack_, {0, 1'000'000});
+    in.reject_unknown();
+}
+
 static void read(const json_node& at, directory& out, limits /*bounds*/)
 {
     object_reader in{at};
     in.required("store", out.store_);
     in.optional("feed", out.feed_);
     in.optional("drain_s", out.drain_, short_time_s);
+    in.optional("evacuation_s", out.evacuation_, short_time_s);
+    in.optional("keys_age_max_s", out.keys_age_max_, short_time_s);
+    in.optional("allotments", out.allotments_);
+    in.optional("cold", out.cold_);
     in.optional("retry_ratio", out.retry_ratio_, {0, 1});
     in.optional("retry_slack", out.retry_slack_, {0, 1'000'000});
     in.optional("probes_per_target", out.probes_per_target_, {0, 100'000});
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -112,6 +112,10 @@
     std::string expect_instance_; // sent to a target: the only instance that may run the request
     std::string instance_;        // in the response to a probe: the target's id
     std::string load_;            // "running,waiting,slots[,percent of the usual time]"
+    // Carries a caller's key as "SCHEME KEY". Used where the desired state lists organisations.
+    std::string key_ = "Authorization";
+    std::string key_scheme_ = "Token";
+    std::string organisation_; // sent to a target: the organisation whose caller sent the request
     // Requests per second that a target takes from all hosts together. Used with a directory only.
     std::string limit_;
 };
@@ -134,14 +138,34 @@
     std::optional<endpoint> relay_;
 };
 
+// How far the allotment of an organisation may be exceeded by all hosts together: in any `window_`,
+// by the part `overage_` of what it allows and `slack_` requests.
+struct allotment_bounds {
+    seconds window_{5};
+    double overage_ = 0;
+    double slack_ = 0; // requests
+};
+
+// How far the rate that a cold target bears may be exceeded by all hosts together, in any second.
+struct cold_bounds {
+    double overage_ = 1; // factor
+    double slack_ = 0;   // requests
+};
+
 // Routes, services and targets come from a store that entry hosts follow.
 struct directory {
     endpoint store_;
     std::optional<directory_feed> feed_; // none: this host reads only from the store
-    seconds drain_{2};              // a leaving target gets no new requests after at most this time
-    double retry_ratio_ = 0.2;      // extra attempts per request, all hosts together
-    double retry_slack_ = 50;       // extra attempts beyond that, all hosts together
-    double probes_per_target_ = 40; // probes per second and target, all hosts together
+    seconds drain_{2}; // a leaving target gets no new requests after at most this time
+    // A data centre that is to be emptied gets no new requests after this time; 0: not followed.
+    seconds evacuation_{0};
+    // Callers are refused when this host's list of keys is older than this; 0: never.
+    seconds keys_age_max_{0};
+    allotment_bounds allotments_;
+    cold_bounds cold_;
+    double retry_ratio_ = 0.2;          // extra attempts per request, all hosts together
+    double retry_slack_ = 50;           // extra attempts beyond that, all hosts together
+    double probes_per_target_ = 40;     // probes per second and target, all hosts together
     std::uint32_t subset_targets_ = 48; // targets of a service that this host uses; 0: all
     service service_;                   // service settings that routes and targets do not define
 };
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -124,6 +124,9 @@
                "Requests to a target that were granted to this host in the last second."),
         counter(registry, "limited_requests_total", "Requests refused for the limits of targets."),
         counter(registry, "quarantined_requests_total", "Requests refused for crashing targets."),
+        register_counter_set<decltype(metrics::send_refusals_)>(
+            registry, "send_refusals_total", "Requests refused before they were sent, by cause.",
+            "cause", admission::refusal_cause_names),
         gauge(registry, "suspects", "Requests known to have been in flight at a crash."),
         gauge(registry, "services_unreachable", "Services of which this host reaches no target."),
         register_counter_set<decltype(metrics::relayed_requests_)>(
--- a/tests/feed_test.cpp
+++ b/tests/feed_test.cpp
@@ -246,3 +246,21 @@
     LONGS_EQUAL(3, first.size());
     LONGS_EQUAL(2, directory::peer_order(peers, peers[1], "host-1").size());
 }
+
+// A release before the first formats sends no such list, and skips it in pages that it reads.
+TEST(feed, a_page_says_whether_its_sender_follows_the_emptied_data_centres)
+{
+    feed_page page;
+    page.epoch_ = 1;
+    const std::string before = peer::write_feed_page(page);
+    CHECK(!peer::read_feed_page(before)->emptied_);
+    page.emptied_ = directory::emptied_data_centres{{}, 1500ms, 40};
+    CHECK(peer::read_feed_page(peer::write_feed_page(page))->emptied_ == page.emptied_);
+    page.emptied_->names_ = {"biloxi", "mobile"};
+    const std::string after = peer::write_feed_page(page);
+    CHECK(peer::read_feed_page(after)->emptied_ == page.emptied_);
+    CHECK(after.starts_with(before)); // what is new comes after all that was known before
+    page.emptied_->names_ = {""};
+    const auto odd = peer::read_feed_page(peer::write_feed_page(page));
+    CHECK(odd.has_value() && !odd->emptied_);
+}
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -308,3 +308,34 @@
         CHECK_TEXT(changed && changed->objects_.size() == 2, odd.substr(0, 60).c_str());
     }
 }
+
+TEST(platform_adapter, reads_organisations_and_refuses_malformed_ones)
+{
+    CHECK(!store_dialect.read_desired_state_(state)->organisations_);
+    CHECK(store_dialect.read_desired_state_(state)->routes_[0].needs_key_);
+    json with = state;
+    with["routes"][0]["public"] = true;
+    with["services"][0]["warmup_s"] = 3.0;
+    with["services"][0]["cold_per_s"] = 6.3;
+    with["tenants"] = json::parse(R"([{"name":"kaje80","api_keys":["k1","k2"],"priority":1,
+        "rate_per_s":288,"burst":12.5},{"name":"b","api_keys":[]},{"name":"c"}])");
+    const auto read = store_dialect.read_desired_state_(with);
+    CHECK(read.has_value());
+    CHECK(!read->routes_[0].needs_key_ && read->routes_[1].needs_key_);
+    CHECK(read->services_[0].warm_up_ == 3s);
+    DOUBLES_EQUAL(6.3, read->services_[0].cold_per_second_, 0);
+    LONGS_EQUAL(3, read->organisations_->size());
+    const organisations::organisation& first = read->organisations_->front();
+    CHECK((first == organisations::organisation{"kaje80", {"k1", "k2"}, 1, {288, 12.5}}));
+    CHECK(!read->organisations_->at(1).priority_);
+    with["tenants"] = json::array();
+    CHECK(store_dialect.read_desired_state_(with)->organisations_->empty());
+    for (const char* odd :
+         {R"({})", R"([{"api_keys":["k1"]}])", R"([{"name":"a","api_keys":"k1"}])",
+          R"([{"name":"a","api_keys":[7]}])", R"([{"name":"a","api_keys":[],"rate_per_s":"9"}])",
+          R"([{"name":"a","api_keys":[],"burst":-1}])",
+          R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])"}) {
+        with["tenants"] = json::parse(odd);
+        CHECK_TEXT(!store_dialect.read_desired_state_(with).has_value(), odd);
+    }
+}
--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -22,7 +22,7 @@
 announced_host host_at(std::uint16_t port, std::string data_centre,
                        std::vector<service_hash> unreached = {})
 {
-    return {{"10.0.0.1", port}, std::move(data_centre), std::move(unreached)};
+    return {{"10.0.0.1", port}, std::move(data_centre), std::move(unreached), {}};
 }
 
 } // namespace
@@ -62,7 +62,7 @@
     CHECK_FALSE(is_current(book, start + relay_book_lifetime));
     std::map<std::uint16_t, int> chosen;
     for (int i = 0; i < 300; ++i) {
-        ++chosen[choose_relay(book, 7, "near", {}, start, random)->port_];
+        ++chosen[choose_relay(book, {7}, "near", {}, start, random)->port_];
     }
     LONGS_EQUAL(3, chosen.size()); // without itself
     for (const auto& [port, count] : chosen) {
@@ -76,12 +76,36 @@
     const std::vector<announced_host> hosts{host_at(1, "near", {7}), host_at(2, "near", {8}),
                                             host_at(3, "far")};
     on_hosts_learned(book, hosts, {"10.0.0.1", 9}, start);
-    LONGS_EQUAL(2, choose_relay(book, 7, "near", {}, start, random)->port_);
+    LONGS_EQUAL(2, choose_relay(book, {7}, "near", {}, start, random)->port_);
     on_relay_failed(book, {"10.0.0.1", 2}, start);
-    LONGS_EQUAL(3, choose_relay(book, 7, "near", {}, start, random)->port_);
+    LONGS_EQUAL(3, choose_relay(book, {7}, "near", {}, start, random)->port_);
     const std::vector<settings::endpoint> tried{{"10.0.0.1", 3}};
-    CHECK_FALSE(choose_relay(book, 7, "near", tried, start, random).has_value());
-    LONGS_EQUAL(2, choose_relay(book, 7, "near", tried, start + relay_exclusion, random)->port_);
+    CHECK_FALSE(choose_relay(book, {7}, "near", tried, start, random).has_value());
+    LONGS_EQUAL(2, choose_relay(book, {7}, "near", tried, start + relay_exclusion, random)->port_);
+}
+
+// Lists pass through hosts of other releases, which take the number of formats for a service.
+TEST(reachability, a_host_names_the_formats_that_it_reads)
+{
+    announced_host said = host_at(7, "near", std::vector<service_hash>(20, 0xab));
+    said.formats_ = peer::organisation_formats;
+    const auto read = read_hosts(write_hosts(std::vector{said, host_at(8, "near", {0xcd})}));
+    LONGS_EQUAL(peer::organisation_formats, read->at(0).formats_);
+    LONGS_EQUAL(unreached_services_max, read->at(0).unreached_.size());
+    CHECK(read->at(1) == host_at(8, "near", {0xcd}));
+    STRCMP_EQUAL("10.0.0.1:8=near=cd;",
+                 write_hosts(std::vector{host_at(8, "near", {0xcd})}).c_str());
+    said.unreached_ = {0xab};
+    STRCMP_EQUAL("10.0.0.1:7=near=ab,ffff0001;", write_hosts(std::vector{said}).c_str());
+
+    relay_book book;
+    on_hosts_learned(book, std::vector{said, host_at(8, "near")}, {"10.0.0.1", 9}, start);
+    const relay_need need{7, peer::organisation_formats};
+    for (int i = 0; i < 50; ++i) {
+        LONGS_EQUAL(7, choose_relay(book, need, "near", {}, start, random)->port_);
+    }
+    on_relay_failed(book, said.relay_, start);
+    CHECK_FALSE(choose_relay(book, need, "near", {}, start, random).has_value());
 }
 
 TEST(reachability, a_host_that_has_stopped_is_named)
