Let the soak use organisations, emptied data centres and two releases

Cause: the new parts meet failures only in the soak, which had no caller with a key, one data centre and one release.

Change: all requests of a run carry a key; faults revoke keys, flood one organisation, empty a data centre, and replace the hosts by those of another release one after the other and back. Their checks: a withdrawn key is refused within the bound and the new one taken, an organisation stays within its allotment, targets of an emptied data centre get nothing after the bound, targets get the caller's organisation and never its key.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -91,7 +91,8 @@
         try:
             writer.write(message(f"{method} {path} HTTP/1.1",
                                  {"Host": "a.example", "X-Id": attempt.name,
-                                  "X-Deadline": str(int(DEADLINE_S * 1000))}, body))
+                                  "X-Deadline": str(int(DEADLINE_S * 1000)),
+                                  "Authorization": "Token key-callers"}, body))
             answer = await asyncio.wait_for(read_message(reader), DEADLINE_S + 5)
             if answer is None:
                 attempt.status = CONNECTION_LOST
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -24,6 +24,7 @@
 import time
 
 from callers import Callers
+from terms import EVACUATION_S, OVERAGE, SLACK, WINDOW_S, Terms
 from world import IP, KILLER_PATH, Proxy, Store, Target, message, read_message
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -52,6 +53,7 @@
         self.store_link = Proxy(base + 3, run.store.port)
         self.feed_link = Proxy(base + 4, self.feed_port)  # through which other hosts read its feed
         self.process = None
+        self.program = run.options.program
         self.incarnation = 0
         self.stopping = False
         self.disturbed_until = 0.0  # time bounds are not checked before this time
@@ -68,13 +70,15 @@
             "ready": {"address": f"{IP}:{self.ready_port}", "path": "/ready"},
             "directory": {"store": f"{IP}:{self.store_link.port}",
                           "feed": {"address": f"{IP}:{self.feed_port}", "hosts": peers},
-                          "drain_s": DRAIN_S, "retry_ratio": 0.2, "retry_slack": 50,
+                          "drain_s": DRAIN_S, "evacuation_s": EVACUATION_S,
+                          "allotments": {"window_s": WINDOW_S, "overage": OVERAGE, "slack": SLACK},
+                          "retry_ratio": 0.2, "retry_slack": 50,
                           "probes_per_target": 60,
                           "service": {"policy": "probed", "not_run_statuses": [421],
                                       "not_run_header": "X-Not-Run", "retry_ratio": 0.15}},
             "header_names": {"request_id": "X-Id", "caller_sets_request_id": True,
                              "deadline": "X-Deadline", "seal": "X-Seal", "expect_instance": "X-Expect",
-                             "instance": "X-Instance", "load": "X-Load", "limit": "X-Limit"},
+                             "instance": "X-Instance", "load": "X-Load", "limit": "X-Limit", "organisation": "X-Organisation"},
         }
 
     async def start(self):
@@ -85,7 +89,7 @@
         self.stopping = False
         with self.log.open("ab") as out:
             self.process = await asyncio.create_subprocess_exec(
-                str(self.run.options.program), "serve", f"--settings={file}", stdout=out, stderr=out)
+                str(self.program), "serve", f"--settings={file}", stdout=out, stderr=out)
 
     def signal_process(self, number):
         """Sends a signal to the process if it is running."""
@@ -99,7 +103,7 @@
             self.stops.pop(self.incarnation, None)
 
 
-class Run:
+class Run(Terms):
     """The run of one seed: store, targets, entry hosts, plan of faults, and findings."""
 
     def __init__(self, seed, options):
@@ -121,6 +125,7 @@
         self.publishing = asyncio.Lock()  # a version is numbered once the one before is acknowledged
         self.events = []
         self.findings = []
+        self.begin_terms()
 
     def now(self):
         return self.loop.time()
@@ -152,6 +157,7 @@
                    for name in ("ledger", "photos")]
         await self.store.put("config", "main", {
             "version": f"r{self.version}", "routes": routes, "services": service,
+            "tenants": self.organisations(),
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_s": 3,
                        "idle_timeout_s": 5}})
         self.versions.append((version, self.now()))
@@ -183,19 +189,30 @@
             callers.stop()
             await asyncio.gather(*caller_tasks)
             callers.check()
+            self.check_terms()
         finally:
             await self.end()
 
     def draw_plan(self):
         """Draws times and kinds of faults, some of them at the same time. A drain and three configuration
         changes come first, while nothing is disturbed."""
-        kinds = [name.removeprefix("inject_") for name in dir(self) if name.startswith("inject_")]
+        kinds = [name.removeprefix("inject_") for name in dir(Run) if name.startswith("inject_")]
+        later = [kind for kind in kinds if hasattr(Terms, f"inject_{kind}")]
+        kinds = [kind for kind in kinds if kind not in later]
         times = [self.random.uniform(FIRST_FAULT_S, self.options.seconds - 3)
                  for _ in range(self.options.faults)]
         for i in range(1, len(times), 3):
             times[i] = times[i - 1]
         undisturbed = [(0.1, "drain"), (0.3, "publish"), (1.0, "publish"), (2.0, "publish")]
-        return undisturbed + [(time_s, self.random.choice(kinds)) for time_s in times]
+        plan = undisturbed + [(time_s, self.random.choice(kinds)) for time_s in times]
+        # Drawn apart, so that the faults of a seed stay as they were before these kinds came.
+        rng = random.Random(self.seed + 1_000_000)
+        plan.append((0.2, rng.choice(later)))
+        plan += [(rng.uniform(FIRST_FAULT_S, self.options.seconds - 3), rng.choice(later))
+                 for _ in range(self.options.faults // 4)]
+        if self.options.other_program:
+            plan.append((FIRST_FAULT_S, "replace"))
+        return plan
 
     async def inject(self, at, kind):
         await asyncio.sleep(at)
@@ -210,7 +227,9 @@
 
     async def inject_term(self):
         """Stops a host as planned, which must not break off requests in progress, and starts it again."""
-        host = self.random_host()
+        await self.stop_as_planned(self.random_host())
+
+    async def stop_as_planned(self, host):
         if host.stopping or host.process.returncode is not None:
             return
         host.stopping = True
@@ -366,7 +385,8 @@
             try:
                 reader, writer = await asyncio.wait_for(asyncio.open_connection(IP, host.port), 1)
                 writer.write(message(f"POST {path} HTTP/1.1", {"Host": "a.example", "X-Id": f"k{self.now():.6f}",
-                                                               "X-Deadline": "1500"}, b"lot"))
+                                                               "X-Deadline": "1500",
+                                                               "Authorization": "Token key-callers"}, b"lot"))
                 await asyncio.wait_for(read_message(reader), 3)
                 writer.transport.abort()
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
@@ -511,6 +531,8 @@
     parser.add_argument("--keep", action="store_true", help="keep the logs of every run")
     parser.add_argument("--base-port", type=int, default=21000 + PORTS * (os.getpid() % 8),
                         help="first of 800 ports; concurrent runs need different ones")
+    parser.add_argument("--other-program", type=pathlib.Path, metavar="PROGRAM",
+                        help="a build of another release; hosts are replaced by it, one after the other, and back")
     parser.add_argument("--program", type=pathlib.Path, default=ROOT / "build" / "savoryscale")
     options = parser.parse_args()
     if not options.program.exists():
--- a/soak/world.py
+++ b/soak/world.py
@@ -105,7 +105,7 @@
     def __init__(self, port):
         self.port = port
         self.revision = 1
-        self.objects = {"config": {}, "servers": {}}
+        self.objects = {"config": {}, "servers": {}, "evacuations": {}}
         self.log = []
         self.compacted = 0  # changes up to this revision are dropped
         self.mode = ""  # "", "down", "silent", "slow"
@@ -232,6 +232,8 @@
         self.running = 0
         self.waiting = 0
         self.runs = []  # (attempt id, time, service, incarnation)
+        self.data_centre = "there" if number % 5 == 4 else "here"
+        self.odd_organisations = []  # (attempt id, organisation) that do not belong together
         self.arrivals = []  # (time, attempt id) of requests that it did not refuse
         self.server = None
         self.writers = set()
@@ -257,7 +259,7 @@
         name = self.id
         while self.alive and self.incarnation == incarnation:
             await self.store.put("servers", name, {
-                "service": self.service, "address": f"{IP}:{self.proxy.port}", "zone": "here",
+                "service": self.service, "address": f"{IP}:{self.proxy.port}", "zone": self.data_centre,
                 "version": "v1", "slots": SLOTS, "warmup_left_s": 0, "sequence": 1,
                 "state": "draining" if self.draining_since else "ready",
                 "born": incarnation})
@@ -320,6 +322,7 @@
             await asyncio.sleep(1)
             return False
         self.arrivals.append((now, attempt))
+        self.check_organisation(attempt, fields)
         self.waiting += 1
         async with self.slots:
             self.waiting -= 1
@@ -331,6 +334,11 @@
             finally:
                 self.running -= 1
 
+    def check_organisation(self, attempt, fields):
+        sender = "callers" if attempt[0] in "ck" else "flooded" if attempt.startswith("flood") else "guests"
+        if fields.get("x-organisation") != sender or "authorization" in fields:
+            self.odd_organisations.append((attempt, fields.get("x-organisation", "")))
+
     async def finish(self, attempt, body, writer):
         fields = {"X-Id": attempt, "X-Seal": seal_of(attempt, body), **self.load()}
         draw = self.random.random()
