Follow the data centres that are to be emptied

Cause: an operator's request to empty a data centre reached no host; targets there got requests as before.

Change: hosts of the feed follow the store's list, the others get it with each page and its age. Targets there get no new request, resend, second send or probe of a search, and keep their state; subsets are drawn anew among those left.

--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -217,6 +217,10 @@
         http_task_->set_targets(service, std::move(targets));
         update_readiness();
     };
+    events.on_emptied_ = [this](const std::vector<std::string>& data_centres) {
+        http_task_->set_emptied(data_centres);
+        update_readiness();
+    };
     events.on_store_call_ = [this](store::operation made, store::call_status seen) {
         metrics_.store_call(made, seen).Increment();
     };
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -18,7 +18,7 @@
 
 // Connections to the store: for each kind that is followed, one in use and one to replace it
 // if it does not respond.
-constexpr std::size_t connections_max = 4;
+constexpr std::size_t connections_max = 6;
 
 // Fractions of the drain time, within which every host must learn that a target is leaving. A host
 // that serves no peers pauses for default_pause_fraction between an update and the next call; the
@@ -85,7 +85,9 @@
                      random_,
                      {[this](const follow_update& update) { on_configuration(update); },
                       events_.on_store_call_,
-                      [this](auto era, time_point began) { return on_era(era, began, targets_); }}},
+                      [this](auto era, time_point began) {
+                          return on_era(era, began, configuration_);
+                      }}},
       targets_{loop,
                pool_,
                store_dialect,
@@ -93,7 +95,15 @@
                target_options(config),
                random_,
                {[this](const follow_update& update) { on_targets(update); }, events_.on_store_call_,
-                [this](auto era, time_point began) { return on_era(era, began, configuration_); }}},
+                [this](auto era, time_point began) { return on_era(era, began, targets_); }}},
+      emptied_{loop,
+               pool_,
+               store_dialect,
+               store_dialect.emptied_kind_,
+               {},
+               random_,
+               {[this](const follow_update& update) { on_emptied(update); }, events_.on_store_call_,
+                [this](auto era, time_point began) { return on_era(era, began, emptied_); }}},
       client_{loop,
               fraction_of(config.drain_, feed_age_max_fraction) + feed_response_margin,
               random_,
@@ -130,11 +140,13 @@
 {
     loop_.cancel(expiry_timer_);
     loop_.cancel(source_check_timer_);
+    loop_.cancel(emptied_timer_);
 }
 
 result<std::uint16_t> directory_task::start()
 {
     source_.started_ = loop_.now();
+    start_emptied();
     std::uint16_t port = 0;
     if (config_.feed_) {
         auto opened = server_.open(config_.feed_->address_);
@@ -172,18 +184,24 @@
         serving ? fraction_of(config_.drain_, serving_wait_fraction) : default_wait);
     if (source_.has_peers_ && !serving) {
         targets_.set_backoff(peer_client_backoff_max, peer_client_backoff_max);
+        emptied_.set_backoff(peer_client_backoff_max, peer_client_backoff_max);
     }
     else {
         targets_.set_backoff(duration::zero(), backoff_max);
+        emptied_.set_backoff(duration::zero(), backoff_max);
     }
     const bool store_needed = is_store_needed(source_, now);
     if (store_needed && source_.peer_as_of_ && !targets_.is_running()) {
         client_.skip_peer();
     }
     set_store_active(store_needed);
+    check_emptied_source(now);
     client_.set_active(is_peer_needed(source_, now));
-    if (const auto next = next_source_check(source_, now)) {
-        source_check_timer_ = loop_.at(*next, [this] {
+    const auto never = time_point::max();
+    const time_point next = std::min(next_source_check(source_, now).value_or(never),
+                                     next_emptied_check(now).value_or(never));
+    if (next != never) {
+        source_check_timer_ = loop_.at(next, [this] {
             source_check_timer_ = 0;
             check_sources();
         });
@@ -229,21 +247,31 @@
     }
 }
 
-// Returns whether the answer that names this era may be used. `other`: the follower that was not
-// answered.
-bool directory_task::on_era(std::optional<std::uint64_t> named, time_point began, follower& other)
+// Returns whether the answer that names this era may be used. `answered`: the follower that got it.
+bool directory_task::on_era(std::optional<std::uint64_t> named, time_point began,
+                            const follower& answered)
 {
     const std::uint64_t before = era_.value_;
     const era_change change = on_era_heard(era_, named, began, loop_.now());
     if (change == era_change::changed) {
         change_era(before);
         if (before != 0) {
-            other.on_store_restored();
+            on_store_restored(&answered);
         }
     }
     return change != era_change::outdated;
 }
 
+// `known`: the follower that knows already; null: none does.
+void directory_task::on_store_restored(const follower* known)
+{
+    for (follower* each : {&configuration_, &targets_, &emptied_}) {
+        if (each != known) {
+            each->on_store_restored();
+        }
+    }
+}
+
 // The revisions known until now mean nothing in the new era. Entries of targets that the store has
 // lost are kept for a while, in which the targets write them again.
 void directory_task::change_era(std::uint64_t before)
@@ -292,8 +320,7 @@
         const std::uint64_t before = std::exchange(era_, {page.store_era_, now}).value_;
         change_era(before);
         if (before != 0) {
-            configuration_.on_store_restored();
-            targets_.on_store_restored();
+            on_store_restored(nullptr);
         }
     }
     if (page.version_ > version_ && !page.document_.empty()) {
@@ -322,6 +349,7 @@
         log_rejected_entry(id, {error_kind::invalid, id, "a field is missing or invalid",
                                 "run compatible releases on all entry hosts"});
     }
+    apply_page_emptied(page, now);
     apply_page_targets(page, now);
     if (!page.suspicions_.empty() && events_.on_suspicions_) {
         events_.on_suspicions_(page.suspicions_);
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -5,6 +5,7 @@
 
 #include "base/error.hpp"
 #include "base/random.hpp"
+#include "directory/emptied.hpp"
 #include "directory/feed.hpp"
 #include "directory/feed_client.hpp"
 #include "directory/feed_server.hpp"
@@ -35,6 +36,8 @@
 struct directory_events {
     std::function<void(routes::desired_state)> on_desired_state_;
     std::function<void(const std::string& service, std::vector<routing::target_info>)> on_targets_;
+    // The data centres whose targets are to get no requests, all of them.
+    std::function<void(const std::vector<std::string>&)> on_emptied_;
     std::function<void(store::operation, store::call_status)> on_store_call_;
     std::function<void(std::uint64_t era)> on_store_era_; // the store names another era
     std::function<void()> on_peers_lost_; // newer settings may list other peers; see set_peers
@@ -71,7 +74,16 @@
     std::vector<announced_host> known_hosts(std::string_view data_centre);
 
     // Whether a desired state and the list of targets are known.
-    [[nodiscard]] bool is_complete() const { return version_ > 0 && targets_listed_; }
+    [[nodiscard]] bool is_complete() const
+    {
+        return version_ > 0 && targets_listed_ && is_emptied_known();
+    }
+
+    // When the store last confirmed the list of data centres to be emptied; none: it is not known.
+    [[nodiscard]] std::optional<time_point> emptied_as_of() const
+    {
+        return feed_.emptied_ ? std::optional{feed_.emptied_->confirmed_at_} : std::nullopt;
+    }
 
 private:
     void on_configuration(const follow_update& update);
@@ -83,13 +95,23 @@
     void apply_page_targets(const feed_page& page, time_point now);
     void update_store_as_of();
     std::optional<announced_host> own_announcement() const;
-    bool on_era(std::optional<std::uint64_t> named, time_point began, follower& other);
+    bool on_era(std::optional<std::uint64_t> named, time_point began, const follower& answered);
+    void on_store_restored(const follower* known);
     bool is_older(const feed_page& page) const;
     void change_era(std::uint64_t before);
     void after_update();
     void check_sources();
     void set_store_active(bool store_needed);
     void apply_target_entry(const stored_object& changed, time_point now);
+    [[nodiscard]] bool follows_emptied() const;
+    [[nodiscard]] bool is_emptied_known() const;
+    [[nodiscard]] duration bound() const;
+    void start_emptied();
+    void check_emptied_source(time_point now);
+    [[nodiscard]] std::optional<time_point> next_emptied_check(time_point now) const;
+    void on_emptied(const follow_update& update);
+    void apply_page_emptied(const feed_page& page, time_point now);
+    void apply_emptied(emptied_list list, const std::string& source);
     void log_rejected_entry(const std::string& id, const error& reason);
     void publish_target_changes();
     void publish_all_targets();
@@ -111,8 +133,11 @@
     http::timer_id expiry_timer_ = 0;
     follower configuration_;
     follower targets_;
+    follower emptied_;
     feed feed_;
     source_state source_;
+    emptied_source emptied_source_;
+    http::timer_id emptied_timer_ = 0;
     feed_position position_;                     // in the feed of the peer that responded last
     std::optional<time_point> store_down_since_; // as reported by a peer
     bool checking_sources_ = false;
--- a/src/directory/feed.cpp
+++ b/src/directory/feed.cpp
@@ -70,11 +70,22 @@
     all[suspicion.subject_] = {suspicion, ++known.sequence_, now};
 }
 
+bool update_emptied(feed& known, emptied_list list)
+{
+    const bool changed = !known.emptied_ || known.emptied_->names_ != list.names_;
+    known.emptied_ = std::move(list);
+    known.sequence_ += changed ? 1 : 0;
+    return changed;
+}
+
 void set_store_era(feed& known, std::uint64_t era)
 {
     known.store_era_ = era;
     known.targets_revision_ = 0;
     known.configuration_revision_ = 0;
+    if (known.emptied_) {
+        known.emptied_->revision_ = 0;
+    }
 }
 
 void update_desired_state(feed& known, std::uint64_t version, std::string document)
@@ -104,6 +115,9 @@
     if (reader.version_ < known.version_) {
         page.document_ = known.document_;
     }
+    if (const auto& emptied = known.emptied_) {
+        page.emptied_ = {emptied->names_, now - emptied->confirmed_at_, emptied->revision_};
+    }
     std::vector<const feed_item*> chosen;
     for (const auto& [id, item] : known.items_) {
         if (page.complete_ ? !item.gone_ : item.sequence_ > reader.sequence_) {
--- a/src/directory/feed.hpp
+++ b/src/directory/feed.hpp
@@ -4,10 +4,12 @@
 // sent either all of it or only the changes.
 
 #include "base/clock.hpp"
+#include "directory/emptied.hpp"
 #include "directory/feed_page.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace savoryscale::directory {
@@ -42,6 +44,7 @@
     std::uint64_t store_era_ = 0; // in which the revisions count; 0: not known
     std::uint64_t targets_revision_ = 0;
     std::uint64_t configuration_revision_ = 0;
+    std::optional<emptied_list> emptied_; // none: not known, or not followed
 };
 
 // Records the changes among the targets. Returns whether there are any.
@@ -50,6 +53,9 @@
 // Records a new or changed suspicion. The one that changed longest ago makes room.
 void update_suspicion(feed&, const peer::fact&, time_point now);
 
+// Records the list of data centres to be emptied. Returns whether other names are known than before.
+bool update_emptied(feed&, emptied_list);
+
 // The store names another era: revisions of the last one mean nothing in it.
 void set_store_era(feed&, std::uint64_t era);
 
--- a/src/directory/follower.hpp
+++ b/src/directory/follower.hpp
@@ -63,6 +63,9 @@
 
     [[nodiscard]] bool is_running() const { return running_; }
 
+    // Whether the complete list has been read and is kept up to date.
+    [[nodiscard]] bool is_listed() const { return state_.listed_; }
+
     // The store revision up to which all changes are known.
     [[nodiscard]] std::uint64_t revision() const { return state_.revision_; }
 
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -373,6 +373,7 @@
         events_.on_tick_();
     }
     publish_limits();
+    publish_emptied();
     relay_hosts_.close_aged(now);
     for (auto& service : services_) {
         for (auto& [index, connections] : service->targets_) {
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -71,6 +71,12 @@
     prometheus::Gauge* granted_ = nullptr;
 };
 
+// The metrics of one data centre that is to be emptied.
+struct emptied_gauges {
+    prometheus::Gauge* since_ = nullptr;
+    prometheus::Gauge* requests_ = nullptr;
+};
+
 // How an attempt that was sent ended.
 enum class upstream_end : std::uint8_t {
     completed,  // the target ran the request and answered
@@ -111,6 +117,8 @@
     // Updates from the control plane or the directory: the two lists, targets, shares, suspicions.
     void set_lists(const plans::lists& lists);
     void set_targets(std::string_view service, std::vector<routing::target_info> targets);
+    // The data centres whose targets get no new requests, sorted.
+    void set_emptied(std::vector<std::string> data_centres);
     // This host's share of "probes/SERVICE" or "probe_bytes/SERVICE": `amount` per second until
     // `until`, then `later`.
     void set_share(const std::string& resource, double amount, time_point until, double later);
@@ -240,6 +248,8 @@
     void apply_probe_share(service_state& service);
     void publish(const pool_counters& counted);
     void publish_limits();
+    void publish_emptied();
+    [[nodiscard]] std::vector<std::string> emptied_names() const;
     void end_idle_callers();
     void check_stopped();
 
@@ -267,6 +277,7 @@
     time_point heard_at_{};
     time_point invalid_limit_logged_at_{};
     std::map<std::string, limit_gauges> limit_gauges_; // by address of the target
+    std::map<std::string, emptied_gauges> emptied_;    // by data centre
     limit_grants grants_;
     class suspicion_reports suspicion_reports_;
     bool serves_hosts_ = false; // other hosts read from this one
--- a/src/http/http_task_services.cpp
+++ b/src/http/http_task_services.cpp
@@ -48,6 +48,7 @@
         state.placement_budget_.probes_per_target_ = config_.directory_->probes_per_target_;
         limit_extra_attempts(state);
     }
+    routing::set_emptied(state.view_, emptied_names());
     state.probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
     state.probe_bytes_share_ = 1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
     apply_probe_share(state);
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -135,7 +135,7 @@
     std::optional<routing::target_index> longest_unheard;
     for (routing::target_index index = 0; index < targets.size(); ++index) {
         const routing::target_state& target = targets[index];
-        if (!target.listed_ || !target.limit_) {
+        if (!target.listed_ || target.emptied_ || !target.limit_) {
             continue;
         }
         if (limited_allowed_ &&
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -96,10 +96,15 @@
     return {target, latency_ratio, duration{static_cast<std::int64_t>(expected)}};
 }
 
+// Whether the target can take no request: its slots are in use, or its data centre is to be emptied
+// since it was probed.
 bool is_full(const service_view& view, const probed_target& probed,
              const placement_options& options)
 {
     const target_state& target = view.targets_[probed.target_];
+    if (target.emptied_) {
+        return true;
+    }
     const double slots = slots_of(view, target, probed.load_.value_or(load_report{}));
     const double queue = slots > options.few_slots_ ? 0 : options.queue_max_;
     return requests_at(target, probed) >= slots * (1 + queue);
@@ -129,7 +134,7 @@
 bool has_unlimited_target(const service_view& view)
 {
     return std::any_of(view.targets_.begin(), view.targets_.end(), [](const target_state& target) {
-        return target.listed_ && !target.info_.leaving_ && !target.limit_;
+        return is_in_use(target) && !target.limit_;
     });
 }
 
@@ -199,7 +204,7 @@
 {
     return std::any_of(probed.begin(), probed.end(), [&](const probed_target& one) {
         const target_state& target = view.targets_[one.target_];
-        if (target.limit_ && has_unlimited_target(view)) {
+        if (target.emptied_ || (target.limit_ && has_unlimited_target(view))) {
             return false;
         }
         const load_report load = one.load_.value_or(load_report{});
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -22,7 +22,7 @@
 bool is_eligible(const target_state& target, std::span<const target_index> exclude,
                  target_index index)
 {
-    if (!target.listed_ || target.info_.leaving_ || target.drain_reported_at_) {
+    if (!is_in_use(target) || target.drain_reported_at_) {
         return false;
     }
     return std::find(exclude.begin(), exclude.end(), index) == exclude.end();
@@ -37,7 +37,7 @@
     std::vector<std::pair<std::uint64_t, target_index>> all;
     for (target_index index = 0; index < view.targets_.size(); ++index) {
         const target_state& target = view.targets_[index];
-        if (target.listed_ && !target.info_.leaving_) {
+        if (is_in_use(target)) {
             const std::uint64_t rank = target_rank(view.own_id_, to_string(target.info_.address_));
             all.emplace_back(rank, index);
             if (target.info_.data_centre_ == view.data_centre_) {
@@ -65,8 +65,9 @@
 
 void update_subset(service_view& view)
 {
-    const auto listed = static_cast<std::size_t>(std::count_if(
-        view.targets_.begin(), view.targets_.end(), [](const auto& one) { return one.listed_; }));
+    const auto listed = static_cast<std::size_t>(
+        std::count_if(view.targets_.begin(), view.targets_.end(),
+                      [](const auto& one) { return one.listed_ && !one.emptied_; }));
     const std::size_t count = hosts_for_each_target(view.hosts_.size(), listed);
     view.subset_.clear();
     if (view.subset_max_ > 0 && listed > view.subset_max_) {
@@ -82,6 +83,14 @@
     }
 }
 
+void mark_emptied(service_view& view)
+{
+    for (target_state& target : view.targets_) {
+        target.emptied_ = std::binary_search(view.emptied_.begin(), view.emptied_.end(),
+                                             target.info_.data_centre_);
+    }
+}
+
 target_index index_of(service_view& view, const target_info& info, time_point now)
 {
     std::string key = to_string(info.address_);
@@ -214,6 +223,14 @@
         target.listed_ = true;
     }
     view.has_target_list_ = true;
+    mark_emptied(view);
+    update_subset(view);
+}
+
+void set_emptied(service_view& view, std::span<const std::string> data_centres)
+{
+    view.emptied_.assign(data_centres.begin(), data_centres.end());
+    mark_emptied(view);
     update_subset(view);
 }
 
@@ -340,8 +357,9 @@
 double calls_per_slot(const service_view& view)
 {
     const double own = own_in_flight(view);
-    const auto targets = static_cast<double>(std::count_if(
-        view.targets_.begin(), view.targets_.end(), [](const auto& one) { return one.listed_; }));
+    const auto targets = static_cast<double>(
+        std::count_if(view.targets_.begin(), view.targets_.end(),
+                      [](const auto& one) { return one.listed_ && !one.emptied_; }));
     if (targets == 0 || view.slots_per_target_ == 0) {
         return 0;
     }
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -33,6 +33,7 @@
     bool hedge_ = true;
     bool has_target_list_ = false;
     std::vector<target_state> targets_;
+    std::vector<std::string> emptied_;  // data centres whose targets get no new attempt, sorted
     std::vector<target_index> subset_; // listed targets in this host's subset, ascending
     std::string own_id_;               // id of this host; empty: no subsets
     std::size_t subset_max_ = 0; // subset size of a host that does not know hosts_; 0: all targets
@@ -56,6 +57,10 @@
 // incarnation at a known address is a new server: it gets a slow start and no failure history.
 void update_targets(service_view&, std::span<const target_info>, time_point now);
 
+// Sets the data centres to be emptied, sorted: their targets get no new attempt and no probe, but
+// keep their state.
+void set_emptied(service_view&, std::span<const std::string> data_centres);
+
 // Sets the ids of all known entry hosts. Large services are then divided among them; see
 // subset.hpp. Until it is called a host uses all targets.
 void set_hosts(service_view&, std::string_view own_id, std::span<const std::string> hosts);
--- a/src/routing/target_state.hpp
+++ b/src/routing/target_state.hpp
@@ -23,6 +23,7 @@
 struct target_state {
     target_info info_;
     bool listed_ = true;              // in the latest list of targets
+    bool emptied_ = false;            // its data centre is to be emptied
     std::uint32_t in_flight_ = 0;     // this host's attempts in flight
     std::vector<time_point> started_; // start times of these attempts, oldest first
     std::optional<received_load> load_;
@@ -43,4 +44,10 @@
     bool probe_pending_ = false;
 };
 
+// Whether the target is there for new requests, as far as the directory says.
+inline bool is_in_use(const target_state& target)
+{
+    return target.listed_ && !target.info_.leaving_ && !target.emptied_;
+}
+
 } // namespace savoryscale::routing
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -122,6 +122,10 @@
         gauges(registry, "target_limit_age_seconds", "Time since a target last named its limit."),
         gauges(registry, "target_limit_granted",
                "Requests to a target that were granted to this host in the last second."),
+        gauges(registry, "data_centre_emptied_since_seconds",
+               "Unix time since which this host holds a data centre as one to be emptied."),
+        gauges(registry, "data_centre_emptied_requests",
+               "Requests of this host in flight in a data centre that is to be emptied."),
         counter(registry, "limited_requests_total", "Requests refused for the limits of targets."),
         counter(registry, "quarantined_requests_total", "Requests refused for crashing targets."),
         register_counter_set<decltype(metrics::send_refusals_)>(
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -71,6 +71,8 @@
     prometheus::Family<prometheus::Gauge>& target_limits_;     // requests per second
     prometheus::Family<prometheus::Gauge>& target_limit_ages_; // seconds
     prometheus::Family<prometheus::Gauge>& target_limit_granted_;
+    prometheus::Family<prometheus::Gauge>& data_centre_emptied_since_;    // Unix time, seconds
+    prometheus::Family<prometheus::Gauge>& data_centre_emptied_requests_; // in flight there
     prometheus::Counter& limited_requests_;
     prometheus::Counter& quarantined_requests_;
     counter_set<admission::refusal_cause, admission::refusal_cause::target_limits>
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -317,6 +317,9 @@
                                     std::vector<routing::target_info> targets) {
             http_task_->set_targets(service, std::move(targets));
         };
+        events.on_emptied_ = [this](const std::vector<std::string>& data_centres) {
+            http_task_->set_emptied(data_centres);
+        };
         events.on_store_call_ = [](store::operation, store::call_status) {};
         events.on_peer_request_ = [this](std::string_view path) {
             return http_task_->answer_peer(path);
