Watch a list from the oldest of its pages

Cause: the pages of a first list that may be stale can come from copies of the store of different age. The watch began at the first page's revision; what had changed between an older later page and that one was neither listed nor watched, so a draining target stayed ready on a host that had just started.

Change: the watch begins at the oldest revision of all pages.

Test: follow.stale_pages_of_two_moments_lack_no_change fails without it (watch from 14, 10 wanted).

--- a/src/directory/follow.cpp
+++ b/src/directory/follow.cpp
@@ -104,10 +104,11 @@
     }
     if (state.after_.empty()) {
         state.listed_objects_.clear();
-        state.first_revision_ = page.revision_;
+        state.oldest_revision_ = page.revision_;
         state.era_ = page.era_;
         state.resumed_ = false;
     }
+    state.oldest_revision_ = std::min(state.oldest_revision_, page.revision_);
     std::move(page.objects_.begin(), page.objects_.end(),
               std::back_inserter(state.listed_objects_));
     state.due_ = now;
@@ -116,9 +117,10 @@
         state.after_ = state.listed_objects_.back().name_;
         return update;
     }
-    // The watch starts at the first page's revision to receive changes made between the pages.
+    // Pages may be of different moments, and stale ones in any order. The watch starts at the oldest
+    // page's revision to receive every change that a page may lack.
     state.listed_ = true;
-    state.revision_ = state.first_revision_;
+    state.revision_ = state.oldest_revision_;
     state.after_.clear();
     state.confirmed_ = !can_list_be_stale(state);
     if (!state.confirmed_) {
--- a/src/directory/follow.hpp
+++ b/src/directory/follow.hpp
@@ -39,7 +39,7 @@
     std::string after_;                         // the next page begins after this name
     std::vector<stored_object> listed_objects_; // from the pages so far, or of a stale list
     bool has_stale_list_ = false;               // listed_objects_ is a complete list, held back
-    std::uint64_t first_revision_ = 0;          // of the first page
+    std::uint64_t oldest_revision_ = 0;         // of the pages so far
     time_point due_{};
     std::uint32_t failures_ = 0; // consecutive
     std::optional<time_point> failing_since_;
--- a/src/dispatch/call.hpp
+++ b/src/dispatch/call.hpp
@@ -129,9 +129,22 @@
 // The hedge timer fired and the budget granted the hedge.
 actions hedge(call& state);
 
-// The deadline passed. An answer that is being forwarded is not interrupted.
+// The deadline passed before an answer had begun. An answer that is being forwarded is not
+// interrupted; see on_answer_overdue.
 actions on_deadline_passed(call& state);
 
+// What is to become of an answer that is being forwarded at the call's deadline or later: whether
+// it is to be checked again `check_again_` after this moment, or else ended.
+struct overdue_answer {
+    duration late_{};  // time since the deadline
+    duration quiet_{}; // time since the target sent the last bytes
+};
+std::optional<duration> overdue_answer_may_go_on(const overdue_answer&);
+
+// The answer that is being forwarded may not go on. What the caller has is incomplete, so that its
+// connection is closed.
+actions on_answer_overdue(call& state);
+
 // The caller disconnected: every attempt is cancelled.
 actions on_caller_left(call& state);
 
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -104,6 +104,30 @@
     CHECK(!directory::on_changes(state, {{}, 12}, now).complete_);
 }
 
+// Two copies of the store answer in turn: the second page is older than the first, and lacks that
+// one of its objects has left since (review, case 3).
+TEST(follow, stale_pages_of_two_moments_lack_no_change)
+{
+    const std::string names = "abcd";
+    for (std::size_t oldest = 0; oldest < names.size(); ++oldest) {
+        state = directory::follow_state{};
+        state.options_.allow_stale_first_list_ = true;
+        for (std::size_t page = 0; page < names.size(); ++page) {
+            const std::uint64_t revision = page == oldest ? 10 : 14;
+            directory::on_list_page(
+                state, {{named(names.substr(page, 1))}, page + 1 < names.size(), revision}, now);
+        }
+        const auto watch = directory::next_call(state, now);
+        CHECK(watch.watch_);
+        LONGS_EQUAL(10, watch.revision_);
+        stored_object left = named(names.substr(oldest, 1));
+        left.removed_ = true;
+        const auto current = directory::on_changes(state, {{left}, 14}, now);
+        CHECK(current.complete_);
+        LONGS_EQUAL(names.size() - 1, current.objects_.size());
+    }
+}
+
 TEST(follow, stale_list_is_not_used_when_its_watch_fails)
 {
     state.options_.allow_stale_first_list_ = true;
