End a long answer at its route's timeout

Cause: an answer over 131,072 bytes is forwarded as it arrives, and the deadline did not end one that had begun. When its target fell silent, only the body's idle timeout of 30 s did.

Change: on a route with a timeout, an answer whose target has been silent for 250 ms at the deadline is ended at once; one whose bytes still arrive has 300 ms more. Services without routes of a desired state are as before.

--- a/src/dispatch/call.cpp
+++ b/src/dispatch/call.cpp
@@ -1,5 +1,8 @@
 #include "dispatch/call.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 namespace savoryscale::dispatch {
 
 namespace {
@@ -9,6 +12,15 @@
 constexpr int status_deadline = 504;
 constexpr int first_server_error = 500;
 
+// An answer whose bytes still arrive at the deadline may take this much longer: what is left of a
+// long one is sent sooner than a new attempt would bring it. Callers are promised an end within
+// half a second of the deadline; the rest of that time is for the timers of a busy host.
+constexpr duration overdue_answer_max = std::chrono::milliseconds{300};
+
+// A target that has sent nothing for this long is taken as silent: longer than a lost packet
+// takes to be sent again inside a region (200 ms at least in the kernel).
+constexpr duration answer_quiet_max = std::chrono::milliseconds{250};
+
 // A request with two broken attempts is not sent to a third target: it may be crashing them.
 constexpr std::uint8_t broken_max = 2;
 
@@ -211,6 +223,25 @@
     return todo;
 }
 
+std::optional<duration> overdue_answer_may_go_on(const overdue_answer& answer)
+{
+    const duration left =
+        std::min(overdue_answer_max - answer.late_, answer_quiet_max - answer.quiet_);
+    return left > duration::zero() ? std::optional{left} : std::nullopt;
+}
+
+actions on_answer_overdue(call& state)
+{
+    actions todo;
+    if (state.phase_ != call_phase::answering) {
+        return todo;
+    }
+    cancel_others(state, todo, attempts_max);
+    state.phase_ = call_phase::finished;
+    todo.add({action_kind::close_caller, state.winner_, 0, outcome::unknown});
+    return todo;
+}
+
 actions on_caller_left(call& state)
 {
     actions todo;
--- a/src/dispatch/call.hpp
+++ b/src/dispatch/call.hpp
@@ -7,11 +7,13 @@
 // Two invariants hold. A call that may not be repeated has at most one attempt that may have
 // reached an upstream. `not_run` is reported only when every attempt is proved not to have run.
 
+#include "base/clock.hpp"
 #include "routing/target.hpp"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace savoryscale::dispatch {
@@ -133,12 +135,13 @@
 // interrupted; see on_answer_overdue.
 actions on_deadline_passed(call& state);
 
-// What is to become of an answer that is being forwarded at the call's deadline or later: whether
-// it is to be checked again `check_again_` after this moment, or else ended.
+// An answer that is being forwarded at the call's deadline or later.
 struct overdue_answer {
     duration late_{};  // time since the deadline
-    duration quiet_{}; // time since the target sent the last bytes
+    duration quiet_{}; // time since bytes of it arrived or were taken by the caller
 };
+
+// How long it may go on until this is asked again. None: it is to be ended now.
 std::optional<duration> overdue_answer_may_go_on(const overdue_answer&);
 
 // The answer that is being forwarded may not go on. What the caller has is incomplete, so that its
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -330,7 +330,9 @@
         case dispatch::action_kind::close_caller:
             telemetry::decided(
                 "request_broken_off", request_id_,
-                {{"why", "the upstream answer ended early after part of it was forwarded"},
+                {{"why", deadline_reached_
+                             ? "the deadline passed after part of the answer was forwarded"
+                             : "the upstream answer ended early after part of it was forwarded"},
                  {"taken_ms", log_ms(http_task_.loop().now() - started_)}});
             finish();
             count_end(telemetry::request_end::broken_off);
@@ -460,6 +462,10 @@
                 "the request did not arrive whole within its deadline", std::nullopt, false});
         return;
     }
+    if (state_.phase_ == dispatch::call_phase::answering) {
+        check_overdue_answer();
+        return;
+    }
     execute(dispatch::on_deadline_passed(state_));
 }
 
@@ -492,7 +498,8 @@
     if (state_.phase_ != dispatch::call_phase::answering) {
         return;
     }
-    progress_due_ = http_task_.loop().now() + service_->config_.body_idle_timeout_;
+    progressed_at_ = http_task_.loop().now();
+    progress_due_ = progressed_at_ + service_->config_.body_idle_timeout_;
     if (progress_timer_ == 0) {
         progress_timer_ = http_task_.loop().at(progress_due_, [this] { check_progress(); });
     }
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -134,6 +134,7 @@
     void on_hedge_due();
     bool take_hedge();
     void on_deadline();
+    void check_overdue_answer();
     void note_progress();
     void check_progress();
     void count_end(telemetry::request_end end);
@@ -162,6 +163,7 @@
     admission::fingerprint fingerprint_ = 0;
     time_point started_{};
     time_point deadline_{};
+    time_point progressed_at_{}; // bytes of the answer arrived or were taken by the caller
     time_point progress_due_{};
     timer_id deadline_timer_ = 0;
     timer_id hedge_timer_ = 0;
--- a/tests/routed_host_test.cpp
+++ b/tests/routed_host_test.cpp
@@ -1,5 +1,6 @@
 // An entry host that follows a directory, over real sockets to a store, targets and callers.
 
+#include "http/proxied_call.hpp"
 #include "support/running_routed_host.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -8,6 +9,7 @@
 
 using namespace savoryscale;
 using namespace savoryscale::testing;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -370,3 +372,48 @@
     }
     LONGS_EQUAL(whole.size() - 1, received.load());
 }
+
+// A target falls silent in a long answer, and another one sends slowly without end: the caller's
+// connection is closed soon after the route's timeout, and what it got is not complete (review,
+// case 2). An answer that is complete shortly after the timeout is not cut.
+TEST(routed_host, an_unfinished_long_answer_ends_soon_after_the_routes_timeout)
+{
+    struct {
+        std::size_t sent_; // bytes after the first ones, 100 ms apart
+        std::size_t announced_;
+        bool complete_;
+    } const plays[] = {{1, 2, false}, {20, 20, false}, {6, 6, true}};
+    const std::string first(http::answer_buffer_max + 1, 'p');
+    for (const auto& play : plays) {
+        fake_upstream target{[&](script_connection& connection, int) {
+            for (std::string request; !(request = connection.read_request()).empty();) {
+                if (request.starts_with("GET /health ")) {
+                    connection.send(ok_answer("", "X-Load: 0,0,2,100\r\n"));
+                    continue;
+                }
+                connection.send(fmt::format(
+                    "HTTP/1.1 200 OK\r\nX-Id: {}\r\nX-Seal: s\r\nContent-Length: {}\r\n\r\n",
+                    field(request, "X-Id"), first.size() + play.announced_));
+                connection.send(first);
+                for (std::size_t i = 0; i < play.sent_; ++i) {
+                    std::this_thread::sleep_for(100ms);
+                    connection.send("q");
+                }
+            }
+        }};
+        store.put("servers", "i-1", server_json(target.port()));
+        auto route = route_json("look", "/look/", "download", "ledger");
+        route["timeout_s"] = 0.5;
+        store.put("config", "main", state_json(1, {route}));
+        running_routed_host host{store.port()};
+        CHECK(host.reaches(1, 1));
+        test_client caller{host.port()};
+        const auto started = std::chrono::steady_clock::now();
+        caller.send(lookup);
+        const std::string answer = caller.read_answer();
+        const auto taken = std::chrono::steady_clock::now() - started;
+        CHECK(contains(answer, " 200 "));
+        CHECK_EQUAL(play.complete_, answer.ends_with(std::string(play.announced_, 'q')));
+        CHECK(taken < 1500ms);
+    }
+}
