--- a/src/dispatch/call.hpp
+++ b/src/dispatch/call.hpp
@@ -7,11 +7,13 @@
 // Two invariants hold. A call that may not be repeated has at most one attempt that may have
 // reached an upstream. `not_run` is reported only when every attempt is proved not to have run.
 
+#include "base/clock.hpp"
 #include "routing/target.hpp"
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace savoryscale::dispatch {
@@ -129,9 +131,23 @@
 // The hedge timer fired and the budget granted the hedge.
 actions hedge(call& state);
 
-// The deadline passed. An answer that is being forwarded is not interrupted.
+// The deadline passed before an answer had begun. An answer that is being forwarded is not
+// interrupted; see on_answer_overdue.
 actions on_deadline_passed(call& state);
 
+// An answer that is being forwarded at the call's deadline or later.
+struct overdue_answer {
+    duration late_{};  // time since the deadline
+    duration quiet_{}; // time since bytes of it arrived or were taken by the caller
+};
+
+// How long it may go on until this is asked again. None: it is to be ended now.
+std::optional<duration> overdue_answer_may_go_on(const overdue_answer&);
+
+// The answer that is being forwarded may not go on. What the caller has is incomplete, so that its
+// connection is closed.
+actions on_answer_overdue(call& state);
+
 // The caller disconnected: every attempt is cancelled.
 actions on_caller_left(call& state);
 
