Add explain: what a running host would do with a request, without sending it

Cause: an operator could not see where a request would go, or which check would refuse it, without sending one.

Change: `savoryscale explain` asks the running host at its address for other hosts. It prints the route, the organisation, the check that refuses, and each target with what the host knows of it, in words or as JSON.

Known gap: what is left of an allotment and the room that is left are not shown.

--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -3,6 +3,7 @@
 #include "base/version.hpp"
 #include "cli/arguments.hpp"
 #include "cli/check.hpp"
+#include "cli/explain.hpp"
 #include "cli/lists_main.hpp"
 #include "cli/serve_command.hpp"
 
@@ -76,6 +77,13 @@
          0,
          0,
          run_status},
+        {"explain",
+         "--settings=FILE [--host=HOST] [--organisation=NAME] [--json] PATH",
+         "tells what the running host would do with a request now, without sending it",
+         {"settings", "host", "organisation", "json"},
+         1,
+         1,
+         run_explain},
         {"version", "", "prints the release number", {}, 0, 0, run_version},
         {"help", "[COMMAND]", "explains the commands", {}, 0, 1, run_help},
     };
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -176,6 +176,14 @@
     return found == services_.end() ? nullptr : found->get();
 }
 
+const service_state* http_task::known_service(std::string_view name) const
+{
+    const auto found = std::find_if(services_.begin(), services_.end(), [&](const auto& service) {
+        return service->config_.name_ == name;
+    });
+    return found == services_.end() ? nullptr : found->get();
+}
+
 std::size_t http_task::target_count(std::string_view service)
 {
     const service_state* known = find_service(service);
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -134,6 +134,8 @@
 
     // Number of the service's targets that may take requests; 0 for an unknown service.
     [[nodiscard]] std::size_t target_count(std::string_view service);
+    // Null for an unknown service.
+    [[nodiscard]] const service_state* known_service(std::string_view name) const;
     [[nodiscard]] std::size_t callers() const { return callers_.size(); }
 
     // For caller connections and their calls.
--- a/src/http/http_task_crashes.cpp
+++ b/src/http/http_task_crashes.cpp
@@ -1,6 +1,7 @@
 // The part of the HTTP task that recognises crashes of targets and the requests that cause them.
 
 #include "http/connection_pool.hpp"
+#include "http/explanation.hpp"
 #include "http/http_task.hpp"
 #include "http/log_fields.hpp"
 #include "peer/grant_wire.hpp"
@@ -44,6 +45,9 @@
 
 page http_task::answer_peer(std::string_view path)
 {
+    if (const auto asked = read_explain_path(path)) {
+        return {status_ok, "application/json", explain(*this, *asked)};
+    }
     if (path.starts_with(peer::grant_path_prefix)) {
         return grants_.answer(path);
     }
