--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -65,6 +65,7 @@
       inbox_{[&loop] { loop.wake(); }},
       request_id_prefix_{fmt::format("{}-{:x}-", config.host_.id_, random_())},
       grants_{loop, random_},
+      allotments_{loop, random_, config, metrics},
       suspicion_reports_{loop, random_, quarantine_,
                          [this](std::span<const peer::fact> known) { receive_suspicions(known); }},
       relay_hosts_{loop, random_, config}
@@ -373,6 +374,7 @@
         events_.on_tick_();
     }
     publish_limits();
+    allotments_.close_aged(now);
     relay_hosts_.close_aged(now);
     for (auto& service : services_) {
         for (auto& [index, connections] : service->targets_) {
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -10,6 +10,7 @@
 #include "base/mailbox.hpp"
 #include "base/random.hpp"
 #include "dispatch/call.hpp"
+#include "http/allotment_reports.hpp"
 #include "http/event_loop.hpp"
 #include "http/limit_grants.hpp"
 #include "http/page_server.hpp"
@@ -121,10 +122,10 @@
     // changed; the hosts that read from this one have been told of them.
     std::vector<admission::fingerprint> receive_suspicions(std::span<const peer::fact> suspicions);
 
-    // The hosts that serve others with the directory, with grants and with suspicions.
+    // The hosts that serve others with the directory, with grants, allotments and suspicions.
     void set_feed_hosts(std::span<const settings::endpoint> hosts);
 
-    // Answers another host's request for a grant, or its report of suspicions.
+    // Answers another host's request for a grant, or its report of allotments or suspicions.
     page answer_peer(std::string_view path);
 
     // Stops gracefully: keeps accepting for stop_lag_, until the balancer in front has noticed, and
@@ -175,6 +176,7 @@
     void on_limit_field(service_state& service, routing::target_index target,
                         const answer_head& head, routing::limit_source source);
     [[nodiscard]] limit_grants& grants() { return grants_; }
+    [[nodiscard]] allotment_reports& allotments() { return allotments_; }
     [[nodiscard]] relay_hosts& relays() { return relay_hosts_; }
     // Services of which no target answers this host.
     [[nodiscard]] std::vector<directory::service_hash> unreached_services() const;
@@ -268,6 +270,7 @@
     time_point invalid_limit_logged_at_{};
     std::map<std::string, limit_gauges> limit_gauges_; // by address of the target
     limit_grants grants_;
+    allotment_reports allotments_;
     class suspicion_reports suspicion_reports_;
     bool serves_hosts_ = false; // other hosts read from this one
     relay_hosts relay_hosts_;
--- a/src/http/http_task_crashes.cpp
+++ b/src/http/http_task_crashes.cpp
@@ -3,6 +3,7 @@
 #include "http/connection_pool.hpp"
 #include "http/http_task.hpp"
 #include "http/log_fields.hpp"
+#include "peer/allotment_wire.hpp"
 #include "peer/grant_wire.hpp"
 #include "peer/suspicion_wire.hpp"
 #include "telemetry/log.hpp"
@@ -38,6 +39,7 @@
     const settings::endpoint& own = config_.directory_->feed_->address_;
     serves_hosts_ = std::find(hosts.begin(), hosts.end(), own) != hosts.end();
     grants_.set_granters(hosts, own);
+    allotments_.set_granters(hosts, own);
     suspicion_reports_.set_hosts(hosts, own);
     relay_hosts_.set_feed_hosts(hosts);
 }
@@ -47,6 +49,9 @@
     if (path.starts_with(peer::grant_path_prefix)) {
         return grants_.answer(path);
     }
+    if (path.starts_with(peer::allotment_path_prefix)) {
+        return allotments_.answer(path);
+    }
     if (!path.starts_with(peer::suspicions_path_prefix)) {
         return {status_not_found, "text/plain", "no such page\n"};
     }
--- a/src/http/http_task_services.cpp
+++ b/src/http/http_task_services.cpp
@@ -69,6 +69,8 @@
     }
     limits_ = state.limits_;
     routes_ = std::make_shared<routes::table>(routes::make_table(std::move(state)));
+    allotments_.set_allotments(routes_->keys_ ? routes_->keys_->organisations_
+                                              : std::vector<organisations::organisation>{});
 }
 
 // A service that is not in the directory yet is added without targets, so its requests are refused.
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -121,6 +121,13 @@
         refuse(checked);
         return;
     }
+    check_allotment();
+}
+
+// The part of start() that follows once the request is within its organisation's allotment.
+void proxied_call::start_allotted()
+{
+    const time_point now = http_task_.loop().now();
     const bool has_body = head_.chunked_ || head_.content_length_.value_or(0) > 0;
     if (has_body && !admission::accepts_body(http_task_.measured_body_memory())) {
         refuse({status_unavailable, "not-run",
@@ -272,8 +279,11 @@
 // claim, for the claim's digest.
 void proxied_call::dispatch_when_ready()
 {
+    if (!allotted_ || dispatched_ || finished_) {
+        return;
+    }
     const std::size_t enough = needs_claim() ? replay_bytes_max : fingerprint_bytes;
-    if (dispatched_ || finished_ || (!request_ended_ && body_bytes_ < enough)) {
+    if (!request_ended_ && body_bytes_ < enough) {
         return;
     }
     dispatched_ = true;
@@ -523,6 +533,9 @@
 void proxied_call::count_end(telemetry::request_end end)
 {
     const duration taken = http_task_.loop().now() - started_;
+    if (end == telemetry::request_end::not_run) {
+        give_back_allotment();
+    }
     http_task_.metrics().requests_[end].Increment();
     http_task_.metrics().request_duration_.Observe(std::chrono::duration<double>(taken).count());
 }
@@ -553,6 +566,7 @@
     http_task_.loop().cancel(hedge_timer_);
     http_task_.loop().cancel(progress_timer_);
     http_task_.loop().cancel(answer_timer_);
+    http_task_.allotments().cancel(allotment_check_);
     http_task_.relays().cancel(relay_search_);
     if (counted_as_relayed_) {
         http_task_.end_relayed_call();
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -13,6 +13,7 @@
 #include "http/head.hpp"
 #include "http/head_text.hpp"
 #include "http/relay_hosts.hpp"
+#include "organisations/allotment_use.hpp"
 #include "organisations/key_table.hpp"
 #include "routes/table.hpp"
 #include "routing/target.hpp"
@@ -88,6 +89,10 @@
     void count_refusal(admission::refusal_cause cause);
     admission::send_verdict identify_caller();
     admission::send_verdict check_caller_again() const;
+    void check_allotment();
+    void on_allotment_decided(const organisations::use_decision& decided);
+    void give_back_allotment();
+    void start_allotted();
     std::uint32_t priority() const;
     void refuse_quarantined();
     void reject_oversized_body();
@@ -169,6 +174,8 @@
     timer_id answer_timer_ = 0;
     std::vector<settings::endpoint> tried_relays_; // hosts that the request was handed to
     std::uint64_t relay_search_ = 0;               // while a host is looked for
+    std::uint64_t allotment_check_ = 0;            // while a granter is asked
+    bool allotted_ = false;                        // the allotment, if there is one, has room
     bool counted_as_relayed_ = false;
     bool admitted_ = false;
     bool dispatched_ = false;
--- /dev/null
+++ b/src/organisations/allotment_use.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+// What a host knows of the use of allotments, and its decision on each request.
+
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "organisations/allotment.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+namespace savoryscale::organisations {
+
+struct own_use {
+    std::int32_t unreported_ = 0;
+    std::int32_t sending_ = 0; // in the report that has not been answered yet
+    bool is_near_limit_ = false;
+    time_point denied_until_{};
+    // Used while this host has no granter.
+    double own_tokens_ = 0;
+    time_point own_filled_at_{};
+};
+
+struct allotment_use {
+    settings::allotment_bounds bounds_;
+    std::uint32_t hosts_max_ = 1; // assumed before the first answer
+    std::unordered_map<name_hash, own_use> organisations_;
+    std::optional<time_point> answered_at_;
+    std::uint32_t hosts_ = 0; // by the last answer
+    bool all_near_limit_ = false;
+    std::optional<time_point> alone_since_; // none: not since the last answer
+};
+
+enum class use_verdict : std::uint8_t {
+    passed,
+    ask, // a granter decides
+    refused,
+};
+
+struct use_decision {
+    use_verdict verdict_ = use_verdict::passed;
+    duration wait_{}; // if refused: until a request may pass
+};
+
+// `may_ask`: a granter may be within reach.
+use_decision decide(allotment_use&, name_hash, const allotment&, bool may_ask, time_point now,
+                    random_source&);
+
+// The decision without a granter, by this host's part alone.
+use_decision decide_alone(allotment_use&, name_hash, const allotment&, time_point now,
+                          random_source&);
+
+// A request that passed did not run.
+void give_back(allotment_use&, name_hash);
+
+// The next report, without what is wanted. One report is under way at a time: on_answer or
+// on_no_answer ends it. `is_first`: this granter has not answered the last one.
+use_report take_report(allotment_use&, name_hash host, bool is_first, time_point now);
+void on_answer(allotment_use&, const use_answer&, time_point now);
+void on_no_answer(allotment_use&);
+
+// Whether there is something to report.
+bool has_unreported(const allotment_use&);
+
+} // namespace savoryscale::organisations
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -75,6 +75,7 @@
     prometheus::Counter& quarantined_requests_;
     counter_set<admission::refusal_cause, admission::refusal_cause::target_limits>
         send_refusals_; // refusal_cause::none is never counted
+    counter_set<direction, direction::received> allotment_reports_;
     prometheus::Gauge& suspects_;
     prometheus::Gauge& services_unreachable_;
     counter_set<direction, direction::received> relayed_requests_;
