Keep allotments of cut-off hosts, of two granters and after restarts within the bound

Cause: a granter forgot lost hosts after 5 s and then granted their part too; hosts that left did not take their part of the burst along; each new host was welcomed with a part that did not shrink with their number. Change: lost hosts count for 20 s, take their part along, and only those that come from another granter are welcomed. A host whose report is late lets through no more than its part.

--- a/src/organisations/allotment.hpp
+++ b/src/organisations/allotment.hpp
@@ -26,8 +26,9 @@
 // reports and an answer may be late or lost before.
 inline constexpr std::chrono::milliseconds contact_time{1200};
 
-// The part of a host that has no granter belongs to it for this long after that.
-inline constexpr std::chrono::seconds part_time{5};
+// The part of a host that has no granter belongs to it for this long after that. Hosts that are
+// restarted are back sooner; the part of one that is gone for good is unused until then.
+inline constexpr std::chrono::seconds part_time{20};
 
 struct reported_use {
     name_hash organisation_ = 0;
--- a/src/organisations/allotment_granter.cpp
+++ b/src/organisations/allotment_granter.cpp
@@ -12,11 +12,11 @@
 
 using namespace std::chrono_literals;
 
-// The parts of what may be let through too much: one is for a host that comes to a granter which
+// The parts of what may be let through too much: one is for hosts that come to a granter which
 // has saved nothing yet, and as much is saved beside the burst. The rest is for requests that
 // hosts let through before they know that the limit is near.
-constexpr double welcome_part = 0.25;
-constexpr double saved_part = 0.25;
+constexpr double welcome_part = 0.2;
+constexpr double saved_part = 0.15;
 
 // Below this part of what can be saved, each request must be granted.
 constexpr double near_limit_part = 0.5;
@@ -37,9 +37,15 @@
     return all == 0 ? 0 : static_cast<double>(granter.present_) / static_cast<double>(all);
 }
 
+// What is saved for all hosts together.
+double saved_of(const allotment_granter& granter, const allotment& limit)
+{
+    return limit.burst_ + saved_part * spare_of(limit, granter.bounds_);
+}
+
 double saved_max(const allotment_granter& granter, const allotment& limit, double share)
 {
-    return std::max(1.0, share * (limit.burst_ + saved_part * spare_of(limit, granter.bounds_)));
+    return std::max(1.0, share * saved_of(granter, limit));
 }
 
 void fill(allotment_granter& granter, name_hash name, allotment_account& account, double share)
@@ -62,28 +68,30 @@
 }
 
 // Counts the time since the last report. More than `contact_time` without one means that this host
-// was frozen: the others were not there any more.
+// was frozen: the others were not there any more. Hosts that have left take their part of what is
+// saved along, also when it has been granted to others.
 void count_time(allotment_granter& granter, time_point now)
 {
     const duration passed = std::min<duration>(now - granter.counted_at_, contact_time);
     granter.share_seconds_ += std::max(0.0, seconds_of(passed)) * share_of(granter, now);
     granter.counted_at_ = now;
-    bool has_lost = false;
+    const double share_before = share_of(granter, now);
     for (auto& [name, host] : granter.hosts_) {
         if (now - host.heard_at_ >= contact_time && std::exchange(host.is_present_, false)) {
             --granter.present_;
-            has_lost = true;
         }
     }
-    std::erase_if(granter.hosts_, [now](const auto& each) {
-        return now - each.second.heard_at_ >= contact_time + part_time;
-    });
-    if (has_lost) {
-        const double share = share_of(granter, now);
+    const double share = share_of(granter, now);
+    if (share < share_before) {
         for (auto& [name, account] : granter.accounts_) {
+            fill(granter, name, account, share_before);
+            account.tokens_ -= saved_of(granter, account.limit_) * (share_before - share);
             fill(granter, name, account, share);
         }
     }
+    std::erase_if(granter.hosts_, [now](const auto& each) {
+        return now - each.second.heard_at_ >= contact_time + part_time;
+    });
 }
 
 void on_host_heard(allotment_granter& granter, const use_report& report, time_point now)
@@ -98,7 +106,7 @@
         granter.hosts_told_ = report.hosts_;
         granter.hosts_told_at_ = now;
     }
-    if (is_new && granter.present_ > 0) {
+    if (is_new && report.hosts_ > 0) {
         granter.welcomes_ += share_of(granter, now) / static_cast<double>(granter.present_);
     }
 }
@@ -140,9 +148,12 @@
             account.tokens_ = known->second.tokens_;
         }
         else {
-            account.tokens_ = share * welcome_part * spare_of(each.allotment_, granter.bounds_);
+            account.tokens_ = welcome_part * spare_of(each.allotment_, granter.bounds_);
+        }
+        const auto added = granter.accounts_.emplace(name, account).first;
+        if (granter.present_ > 0) {
+            fill(granter, name, added->second, share);
         }
-        fill(granter, name, granter.accounts_.emplace(name, account).first->second, share);
     }
 }
 
--- a/src/organisations/allotment_granter.hpp
+++ b/src/organisations/allotment_granter.hpp
@@ -40,7 +40,7 @@
     std::uint32_t hosts_told_ = 0; // by the hosts, the largest number lately
     time_point hosts_told_at_{};
     double share_seconds_ = 0; // the part of the hosts that was present, integrated over time
-    double welcomes_ = 0;      // shares of hosts that were not known when they came
+    double welcomes_ = 0;      // shares of the hosts that came from another granter
     time_point counted_at_{};
 };
 
--- a/src/organisations/allotment_use.cpp
+++ b/src/organisations/allotment_use.cpp
@@ -12,7 +12,7 @@
 
 // Of what may be let through too much, the part that hosts without a granter may use together; the
 // rest is left to the granters.
-constexpr double alone_part = 0.5;
+constexpr double alone_part = 0.35;
 
 // As many hosts are expected to lose all granters at once.
 constexpr double alone_hosts = 0.5;
@@ -20,6 +20,9 @@
 // A host asks again after a denial no sooner than this: callers that ignore denials cost less.
 constexpr duration denial_min = 50ms;
 
+// Longer than the time between two reports and the answer to one.
+constexpr duration late_time = 700ms;
+
 // Uses that are forgotten when their number reaches this.
 constexpr std::size_t uses_max = 20'000;
 
@@ -70,6 +73,16 @@
            hosts_of(use);
 }
 
+// While an answer is late, more than this host's part is not let through unheard.
+bool is_beyond_part(const allotment_use& use, const own_use& own, const allotment& limit,
+                    time_point now)
+{
+    const duration since = now - *use.answered_at_;
+    const double part = own_tokens_max(use, limit) +
+                        seconds_of(since) * limit.per_second_ / hosts_of(use);
+    return since > late_time && own.unreported_ + own.sending_ >= 1 + part;
+}
+
 } // namespace
 
 use_decision decide(allotment_use& use, name_hash organisation, const allotment& limit,
@@ -81,10 +94,12 @@
     own_use& own = use_of(use, organisation);
     if (has_contact(use, now)) {
         if (!use.all_near_limit_ && !own.is_near_limit_) {
-            ++own.unreported_;
-            return {};
+            if (!is_beyond_part(use, own, limit, now)) {
+                ++own.unreported_;
+                return {};
+            }
         }
-        if (own.denied_until_ > now) {
+        else if (own.denied_until_ > now) {
             return {use_verdict::refused, own.denied_until_ - now};
         }
     }
