Name a target to other hosts by its id and start time

Cause: hosts named a crashed target to each other by address and id. A target that starts again under its id had the same name, so first crashes that different hosts saw were counted as one, and each host let the request crash it anew.

Change: the name is a hash of id and start time (admission/target_name). Where a target reports no start time, the name is as before. Hosts of an earlier release name the same lifetime differently; a crash that both saw then counts twice.

Tests: quarantine.crashes_of_two_lifetimes_under_one_id_count_as_two fails without it, with registry.a_target_that_starts_again_under_its_id_is_listed_with_its_start_time.

--- a/src/directory/registry.cpp
+++ b/src/directory/registry.cpp
@@ -142,6 +142,7 @@
         info.leaving_ = entry.leaving_;
         info.incarnation_ = known.incarnation_;
         info.id_ = id;
+        info.born_ms_ = entry.born_ms_;
         info.slots_ = entry.slots_;
         info.warm_up_ = entry.warm_up_;
         targets.push_back(std::move(info));
--- a/src/http/http_task_services.cpp
+++ b/src/http/http_task_services.cpp
@@ -1,11 +1,11 @@
 // The part of the HTTP task that manages services, their targets and the connections to the
 // targets.
 
+#include "admission/target_name.hpp"
 #include "http/http_task.hpp"
 #include "routing/policy.hpp"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -19,14 +19,13 @@
     return fmt::format("{}/{}", to_string(info.address_), info.incarnation_);
 }
 
-// Incarnations are counted by each host for itself, ids are the same on all hosts.
+// Incarnations are counted by each host for itself; ids and start times are the same on all hosts.
 std::string shared_target_name_of(const routing::target_info& info)
 {
     if (info.id_.empty()) {
         return target_name_of(info);
     }
-    return fmt::format("{}/{:08x}", to_string(info.address_),
-                       XXH32(info.id_.data(), info.id_.size(), 0));
+    return admission::shared_target_name(to_string(info.address_), info.id_, info.born_ms_);
 }
 
 } // namespace
--- a/src/routing/target.hpp
+++ b/src/routing/target.hpp
@@ -24,6 +24,7 @@
     bool leaving_ = false;
     std::uint64_t incarnation_ = 0; // grows when the target restarts at the same address
     std::string id_{};              // id that requests can be bound to; empty: none
+    std::uint64_t born_ms_ = 0;     // start time since the Unix epoch; 0: not reported
     std::uint32_t slots_ = 0;       // requests it runs at once; 0: not reported
     duration warm_up_{};            // time until the end of its slow start
 };
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -1,4 +1,5 @@
 #include "admission/quarantine.hpp"
+#include "admission/target_name.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -105,6 +106,20 @@
     CHECK_FALSE(is_quarantined(second_host_, crashing_request, now_));
 }
 
+// A target starts again under its id and crashes again, each time with another host's request
+// (review, case 4).
+TEST(quarantine, crashes_of_two_lifetimes_under_one_id_count_as_two)
+{
+    const auto crash = [&](quarantine& at, std::uint64_t born_ms) {
+        on_request_sent(at, crashing_request, "a/1", now_);
+        on_target_crashed(at, "a/1", now_, shared_target_name("10.0.0.1:80", "i-1", born_ms));
+    };
+    crash(first_host_, 1'700'000'000'000);
+    crash(second_host_, 1'700'000'002'000);
+    CHECK(merge(second_host_, suspicion_of(first_host_, crashing_request), now_).value());
+    CHECK(is_quarantined(second_host_, crashing_request, now_));
+}
+
 TEST(quarantine, a_cleared_suspicion_reaches_the_peers_and_overrides_an_older_one)
 {
     crash_target(first_host_, harmless_request, "a");
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -46,6 +46,16 @@
     }
 };
 
+TEST(registry, a_target_that_starts_again_under_its_id_is_listed_with_its_start_time)
+{
+    target_entry started = entry("i-1", "10.0.0.1");
+    for (const std::uint64_t born_ms : {1000, 3000}) {
+        started.born_ms_ = born_ms;
+        list({started});
+        LONGS_EQUAL(born_ms, directory::targets_of(all, "ledger").at(0).born_ms_);
+    }
+}
+
 TEST(registry, entry_missing_from_list_is_removed_at_once)
 {
     list({entry("i-1", "10.0.0.1"), entry("i-2", "10.0.0.2")});
