Write to plain sockets directly, and let connections that are being closed give way

Cause: libwebsockets copied up to 64 KiB for each peer that does not read, an emptied queue kept its room, and connections whose peer does not read its last answer stayed for 30 s, outside of max_connections and of any bound on memory.

--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -14,6 +14,7 @@
 #include <array>
 #include <csignal>
 #include <cstring>
+#include <numeric>
 
 namespace savoryscale::http {
 
@@ -25,6 +26,9 @@
 // Descriptors for listeners, the wake-up pipe and libwebsockets itself.
 constexpr unsigned int reserved_descriptors = 64;
 
+// From this part of free sockets on, connections that are being closed give way to new ones.
+constexpr std::size_t room_fraction = 8;
+
 void init_library()
 {
     static const bool done = [] {
@@ -144,6 +148,7 @@
     std::unique_ptr<event_loop> loop{new event_loop};
     lws_context_creation_info info{};
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | tls_option;
+    loop->max_sockets_ = max_sockets;
     info.fd_limit_per_thread = max_sockets + reserved_descriptors;
     info.pt_serv_buf_size = read_buffer_bytes;
     info.user = loop.get();
@@ -170,6 +175,7 @@
 event_loop::~event_loop()
 {
     closing_down_ = true;
+    finishing_.clear();
     if (context_ != nullptr) {
         lws_context_destroy(context_);
     }
@@ -243,6 +249,10 @@
         if (descriptor.sockfd < 0) {
             return;
         }
+        // Connections of peers that do not read their last answers give way.
+        if (sockets_.size() + max_sockets_ / room_fraction >= max_sockets_) {
+            end_oldest_finishing(false);
+        }
         entry.last_peer_ip_ = ip_of(peer);
         const int yes = 1;
         ::setsockopt(descriptor.sockfd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
@@ -364,6 +374,28 @@
     }
 }
 
+std::size_t event_loop::finishing_bytes() const
+{
+    return std::accumulate(
+        finishing_.begin(), finishing_.end(), std::size_t{0},
+        [](std::size_t sum, const socket* stream) { return sum + stream->held_bytes(); });
+}
+
+bool event_loop::end_oldest_finishing(bool unread)
+{
+    const auto found =
+        std::find_if(finishing_.begin(), finishing_.end(), [unread](const socket* stream) {
+            return !stream->closing_ && (!unread || stream->queued() > 0);
+        });
+    if (found == finishing_.end()) {
+        return false;
+    }
+    (*found)->output_ = {};
+    (*found)->sent_ = 0;
+    (*found)->request_close();
+    return true;
+}
+
 void event_loop::remove_socket(socket* closed)
 {
     accepted_ -= closed->accepted_ ? 1 : 0;
--- a/src/http/event_loop.hpp
+++ b/src/http/event_loop.hpp
@@ -88,6 +88,13 @@
     // Number of accepted connections, including those that are being closed.
     [[nodiscard]] std::size_t accepted() const { return accepted_; }
 
+    // Memory of accepted connections that are being closed, for answers that the peer has not read.
+    [[nodiscard]] std::size_t finishing_bytes() const;
+
+    // Closes the connection that has been closing the longest, of those with unread answers if
+    // `unread`. Returns whether there was one.
+    bool end_oldest_finishing(bool unread);
+
     // Entry point for the library's callbacks.
     static int callback(lws* wsi, int reason, void* data, std::size_t length);
 
@@ -105,12 +112,16 @@
     void accept_pending(listener& entry);
     void arm_timer();
     void remove_socket(socket* closed);
+    void add_finishing(socket& stream) { finishing_.push_back(&stream); }
+    void remove_finishing(socket& stream) { std::erase(finishing_, &stream); }
 
     lws_context* context_ = nullptr;
     lws_vhost* client_vhost_ = nullptr;
     std::vector<std::unique_ptr<listener>> listeners_;
+    std::vector<socket*> finishing_; // closed by their owners, the oldest first
     std::unordered_map<socket*, std::unique_ptr<socket>> sockets_;
     std::vector<socket*> to_flush_; // with output to write before the loop next waits
+    std::size_t max_sockets_ = 0;
     std::size_t accepted_ = 0;
     timer_queue timers_;
     std::unique_ptr<timer_hook> hook_;
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace savoryscale::http {
 
@@ -18,8 +19,8 @@
 // Most bytes passed to lws_write in one call; libwebsockets would copy larger writes.
 constexpr std::size_t write_chunk_bytes = 65536;
 
-// Sent bytes are erased from the front of the queue when there are this many.
-constexpr std::size_t compact_bytes = 262144;
+// Room that an empty queue keeps, enough for most answers.
+constexpr std::size_t kept_bytes = 4096;
 
 // A silent connection closes about two seconds after the last segment from the peer.
 constexpr int keep_alive_idle_s = 1;
@@ -46,6 +47,9 @@
 socket::~socket()
 {
     loop_.cancel(linger_timer_);
+    if (finishing_) {
+        loop_.remove_finishing(*this);
+    }
 }
 
 void socket::write(std::string_view bytes)
@@ -101,6 +105,7 @@
         return;
     }
     finishing_ = true;
+    loop_.add_finishing(*this);
     resume_reading();
     linger_ = linger;
     undelivered_bytes_ = 0;
@@ -153,8 +158,31 @@
     }
 }
 
-// Writes as much as the kernel accepts. libwebsockets buffers the rest of a partial write; nothing
-// more is written until that buffer is empty.
+// Writes a part of the queue and returns its size; 0 when the kernel takes no more, none on
+// failure. With TLS, libwebsockets buffers the rest of a partial write.
+std::optional<std::size_t> socket::write_some()
+{
+    if (lws_is_ssl(wsi_) == 0) {
+        const ssize_t written = ::send(lws_get_socket_fd(wsi_), output_.data() + sent_, queued(),
+                                       MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (written < 0) {
+            const bool is_full = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+            return is_full ? std::optional<std::size_t>{0} : std::nullopt;
+        }
+        return static_cast<std::size_t>(written);
+    }
+    if (lws_partial_buffered(wsi_) != 0) {
+        return 0;
+    }
+    const std::size_t length = std::min(queued(), write_chunk_bytes);
+    auto* bytes = reinterpret_cast<unsigned char*>(output_.data() + sent_);
+    if (lws_write(wsi_, bytes, length, LWS_WRITE_RAW) < 0) {
+        return std::nullopt;
+    }
+    return length;
+}
+
+// Writes as much as the kernel accepts.
 void socket::handle_writable()
 {
     waiting_for_writable_ = false;
@@ -162,25 +190,20 @@
         return;
     }
     while (queued() > 0) {
-        if (lws_partial_buffered(wsi_) != 0) {
-            request_writable_callback();
-            return;
-        }
-        const std::size_t length = std::min(queued(), write_chunk_bytes);
-        auto* bytes = reinterpret_cast<unsigned char*>(output_.data() + sent_);
-        if (lws_write(wsi_, bytes, length, LWS_WRITE_RAW) < 0) {
+        const auto written = write_some();
+        if (!written) {
             on_write_failed();
             return;
         }
-        sent_ += length;
-        bytes_written_ += length;
-        if (sent_ >= compact_bytes) {
-            output_.erase(0, sent_);
-            sent_ = 0;
+        sent_ += *written;
+        bytes_written_ += *written;
+        if (*written == 0) {
+            discard_sent();
+            request_writable_callback();
+            return;
         }
     }
-    output_.clear();
-    sent_ = 0;
+    discard_sent();
     if (finishing_) {
         if (lws_partial_buffered(wsi_) != 0) {
             request_writable_callback();
@@ -196,6 +219,17 @@
     }
 }
 
+void socket::discard_sent()
+{
+    if (queued() == 0 && output_.capacity() > kept_bytes) {
+        output_ = {};
+    }
+    else {
+        output_.erase(0, sent_);
+    }
+    sent_ = 0;
+}
+
 void socket::request_writable_callback()
 {
     waiting_for_writable_ = true;
--- a/src/http/socket.hpp
+++ b/src/http/socket.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -55,6 +56,9 @@
     // Queued bytes that have not been written to the connection.
     [[nodiscard]] std::size_t queued() const { return output_.size() - sent_; }
 
+    // Memory for queued bytes.
+    [[nodiscard]] std::size_t held_bytes() const { return output_.capacity(); }
+
     // Bytes written since the connection was opened.
     [[nodiscard]] std::uint64_t bytes_written() const { return bytes_written_; }
 
@@ -86,6 +90,8 @@
 
     void handle_data(std::string_view bytes);
     void handle_writable();
+    std::optional<std::size_t> write_some();
+    void discard_sent();
     void handle_closed();
     void on_linger_timer();
     [[nodiscard]] std::size_t unacknowledged_bytes() const;
