Keep one account of all memory that callers make a host hold, and close those that hold it without progress

Cause: heads, requests sent ahead and unread answers were not counted, what was counted was up to 10 ms old, and when all connections were taken by silent ones no caller got in until they timed out. Change: each connection adds what has changed after each read (http_task_room, admission/body_memory). From three quarters of the account, bodies and heads of more than 16 KiB are refused as not run and stalled holders are closed, the largest first; when all is used, those that make progress too (admission/holder, decisions over plain structs). When all connections are open, 1/64 of them give way, stalled ones first, never one that a target works on. host.memory_mb is new: the account is a quarter of it unless listen.body_memory_mb is set. At most 16 KiB of requests sent ahead are read (64 before). A head that does not come whole meets its own timeout also where the idle timeout is longer.

--- a/src/admission/body_memory.cpp
+++ b/src/admission/body_memory.cpp
@@ -33,8 +33,28 @@
 }
 
 bool accepts_body(const body_memory& memory)
+{
+    return is_plentiful(memory);
+}
+
+bool accepts_head(const body_memory& memory, std::size_t bytes)
+{
+    return is_plentiful(memory) || bytes <= crowded_limit;
+}
+
+bool is_plentiful(const body_memory& memory)
 {
     return memory.held_ < memory.max_ / 4 * 3;
 }
 
+bool is_exhausted(const body_memory& memory)
+{
+    return memory.held_ >= memory.max_;
+}
+
+bool gives_way(const body_memory& memory, std::size_t bytes)
+{
+    return is_exhausted(memory) && bytes > crowded_limit;
+}
+
 } // namespace savoryscale::admission
--- a/src/admission/body_memory.hpp
+++ b/src/admission/body_memory.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
-// Bounds the memory for bodies of requests and answers that are in progress on one host. It handles
-// many uploads at once, and callers or targets that stall in the middle of a body.
+// The account of all memory that callers make one host hold: heads, bodies of requests and answers,
+// requests sent ahead, answers that are not read. It handles many uploads at once, callers that do
+// not keep to the limits, and callers or targets that stall in the middle of a body.
 
 #include "base/clock.hpp"
 
@@ -10,8 +11,8 @@
 namespace savoryscale::admission {
 
 struct body_memory {
-    std::size_t max_ = std::size_t{32} << 20U; // bytes, of all bodies together
-    std::size_t held_ = 0;                     // bytes, when last measured
+    std::size_t max_ = std::size_t{32} << 20U; // bytes, of all connections together
+    std::size_t held_ = 0; // bytes, when last measured, and what is known to have changed since
     time_point measured_at_{};
 };
 
@@ -26,4 +27,16 @@
 // Whether another request with a body may begin.
 bool accepts_body(const body_memory&);
 
+// Whether another request may begin whose head occupies this much.
+bool accepts_head(const body_memory&, std::size_t bytes);
+
+// Whether requests of all kinds may begin.
+bool is_plentiful(const body_memory&);
+
+// Whether all of it is used, so that what holds most of it must go.
+bool is_exhausted(const body_memory&);
+
+// Whether a connection that holds this much gives way when the memory is exhausted.
+bool gives_way(const body_memory&, std::size_t bytes);
+
 } // namespace savoryscale::admission
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -21,11 +21,14 @@
 constexpr duration first_request_time = 500ms;
 
 // Limit on buffered bytes of further requests while one is being answered; reading pauses above it.
-constexpr std::size_t pipelined_bytes_max = 65536;
+constexpr std::size_t pipelined_bytes_max = 16384;
 
 // Fields that another host adds to the head of a request.
 constexpr std::uint32_t relay_header_bytes = 1024;
 
+// What an open connection needs by itself, with its socket and its parser.
+constexpr std::size_t connection_bytes = 4096;
+
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 constexpr int status_bad_request = 400;
@@ -38,7 +41,8 @@
     : http_task_{owner},
       stream_{&stream},
       reader_{owner.limits().max_header_bytes_ + (is_host ? relay_header_bytes : 0)},
-      is_host_{is_host}
+      is_host_{is_host},
+      progress_at_{owner.loop().now()}
 {
     set_activity_deadline(http_task_.limits().idle_timeout_);
 }
@@ -46,6 +50,7 @@
 caller_connection::~caller_connection()
 {
     http_task_.loop().cancel(activity_timer_);
+    http_task_.change_held(accounted_bytes_, 0);
     if (stream_ != nullptr) {
         stream_->close();
     }
@@ -68,7 +73,53 @@
 
 std::size_t caller_connection::held_bytes() const
 {
-    return queued() + reader_.pending_bytes() + (call_ == nullptr ? 0 : call_->held_bytes());
+    return connection_bytes + (stream_ == nullptr ? 0 : stream_->held_bytes()) +
+           reader_.held_bytes() + (call_ == nullptr ? 0 : call_->held_bytes());
+}
+
+// Adds what has changed to the host's account.
+void caller_connection::account()
+{
+    const std::size_t held = held_bytes();
+    http_task_.change_held(std::exchange(accounted_bytes_, held), held);
+}
+
+admission::holder_phase caller_connection::phase() const
+{
+    using admission::holder_phase;
+    if (queued() > 0) {
+        return holder_phase::unread;
+    }
+    if (call_ != nullptr) {
+        if (request_ended_) {
+            return holder_phase::working;
+        }
+        return call_->is_dispatched() ? holder_phase::sending_body : holder_phase::reading_body;
+    }
+    if (header_started_) {
+        return holder_phase::reading_head;
+    }
+    return had_request_ ? holder_phase::idle : holder_phase::unused;
+}
+
+void caller_connection::give_way()
+{
+    http_task_.metrics().callers_given_up_.Increment();
+    switch (phase()) {
+    case admission::holder_phase::unused:
+    case admission::holder_phase::idle:
+    case admission::holder_phase::reading_head:
+        close_idle();
+        return;
+    case admission::holder_phase::reading_body:
+        call_->refuse_for_room();
+        return;
+    default:
+        if (call_ != nullptr) {
+            call_->on_caller_gone();
+        }
+        close_abruptly();
+    }
 }
 
 void caller_connection::pause_reading()
@@ -94,18 +145,30 @@
 
 void caller_connection::on_data(std::string_view bytes)
 {
-    if (!header_started_ && call_ == nullptr) {
-        header_started_ = true;
-        set_activity_deadline(http_task_.limits().header_timeout_);
-    }
+    const bool begins = !header_started_ && call_ == nullptr;
+    header_started_ = header_started_ || begins;
+    progress_at_ = http_task_.loop().now();
     read_request(bytes);
+    if (stream_ == nullptr) {
+        return;
+    }
+    if (begins && header_started_) {
+        shorten_activity_deadline(http_task_.limits().header_timeout_);
+    }
+    account();
+    const bool is_working = phase() == admission::holder_phase::working &&
+                            reader_.pending_bytes() <= pipelined_bytes_max;
+    if (!is_working && http_task_.must_give_way(accounted_bytes_)) {
+        give_way();
+    }
 }
 
 // Feeds the reader and passes the head, body and end of the request to its call.
 void caller_connection::read_request(std::string_view bytes)
 {
-    body_.clear();
-    const auto fed = reader_.feed(bytes, body_);
+    std::string& body = http_task_.read_buffer();
+    body.clear();
+    const auto fed = reader_.feed(bytes, body);
     if (!fed) {
         reject_malformed(fed.error());
         return;
@@ -113,8 +176,8 @@
     if (call_ == nullptr && !request_ended_ && reader_.has_head()) {
         start_call();
     }
-    if (call_ != nullptr && !request_ended_ && !body_.empty()) {
-        call_->on_request_body(body_);
+    if (call_ != nullptr && !request_ended_ && !body.empty()) {
+        call_->on_request_body(body);
     }
     if (call_ != nullptr && !request_ended_ && reader_.complete()) {
         request_ended_ = true;
@@ -127,14 +190,14 @@
 
 void caller_connection::start_call()
 {
-    const request_head& head = reader_.head();
+    request_head head = reader_.take_head();
     header_started_ = false;
     had_request_ = true;
     awaits_drain_ = false;
     activity_deadline_ = time_point::max();
     is_head_request_ = head.method_ == "HEAD";
     close_after_answer_ = !head.keep_alive_ || http_task_.is_stopping();
-    call_ = std::make_unique<proxied_call>(http_task_, *this, head);
+    call_ = std::make_unique<proxied_call>(http_task_, *this, std::move(head));
     call_->start();
 }
 
@@ -267,8 +330,7 @@
         close_idle();
         return;
     }
-    http_task_.loop().cancel(std::exchange(activity_timer_, 0));
-    set_activity_deadline(first_request_time);
+    shorten_activity_deadline(first_request_time);
 }
 
 // A request may be in transit during the close. It will not run, so a 408 that says so is sent in
@@ -293,6 +355,13 @@
     }
 }
 
+// The same, with a deadline that may be before the one in force.
+void caller_connection::shorten_activity_deadline(duration within)
+{
+    http_task_.loop().cancel(std::exchange(activity_timer_, 0));
+    set_activity_deadline(within);
+}
+
 void caller_connection::on_activity_timer()
 {
     activity_timer_ = 0;
@@ -308,6 +377,7 @@
 
 void caller_connection::on_drained()
 {
+    progress_at_ = http_task_.loop().now();
     if (call_ != nullptr) {
         call_->on_caller_drained();
     }
--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -2,6 +2,7 @@
 
 // A caller's connection: reads requests one at a time and writes their answers.
 
+#include "admission/holder.hpp"
 #include "base/clock.hpp"
 #include "http/event_loop.hpp"
 #include "http/head_text.hpp"
@@ -46,9 +47,20 @@
     // Bytes of the answer that the kernel has not accepted yet.
     [[nodiscard]] std::size_t queued() const;
 
-    // Bytes of bodies that the connection and its call hold.
+    // Memory that the connection and its call hold.
     [[nodiscard]] std::size_t held_bytes() const;
 
+    // The same, when it was last added to the account of the host.
+    [[nodiscard]] std::size_t accounted_bytes() const { return accounted_bytes_; }
+    void set_accounted_bytes(std::size_t bytes) { accounted_bytes_ = bytes; }
+
+    // What the connection waits for, since when.
+    [[nodiscard]] admission::holder_phase phase() const;
+    [[nodiscard]] time_point progress_at() const { return progress_at_; }
+
+    // Ends what the connection holds, since the host is short of room: as not run where it can.
+    void give_way();
+
     void pause_reading();
     void resume_reading();
 
@@ -68,11 +80,13 @@
 
 private:
     void read_request(std::string_view bytes);
+    void account();
     void start_call();
     void reject_malformed(const error& parse_error);
     void end_call();
     void begin_next();
     void set_activity_deadline(duration within);
+    void shorten_activity_deadline(duration within);
     void on_activity_timer();
     void close_idle();
     void close_gracefully();
@@ -81,7 +95,6 @@
     socket* stream_;
     message_reader<request_head> reader_;
     std::unique_ptr<proxied_call> call_;
-    std::string body_; // decoded request body of the read in progress
     const bool is_host_;
     bool answer_chunked_ = false;
     bool close_after_answer_ = false;
@@ -90,6 +103,8 @@
     bool header_started_ = false;
     bool awaits_drain_ = false; // the caller must read earlier answers before its next request
     bool had_request_ = false;  // since the connection was opened
+    std::size_t accounted_bytes_ = 0;
+    time_point progress_at_{};
     time_point activity_deadline_{};
     timer_id activity_timer_ = 0;
 };
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -69,7 +69,7 @@
                          [this](std::span<const peer::fact> known) { receive_suspicions(known); }},
       relay_hosts_{loop, random_, config}
 {
-    body_memory_.max_ = std::size_t{config_.listen_.body_memory_mb_} << 20U;
+    body_memory_.max_ = settings::caller_memory_bytes(config_);
     limits_.max_header_bytes_ = config_.listen_.max_header_bytes_;
     limits_.idle_timeout_ = config_.listen_.idle_timeout_;
     limits_.header_timeout_ = config_.listen_.header_timeout_;
@@ -120,6 +120,10 @@
 {
     return [this, are_hosts](socket& stream) -> socket_handler* {
         if (callers_.size() >= config_.listen_.max_connections_) {
+            make_room_for_caller();
+        }
+        if (callers_.size() >= config_.listen_.max_connections_) {
+            metrics_.callers_turned_away_.Increment();
             return nullptr;
         }
         auto owned = std::make_unique<caller_connection>(*this, stream, are_hosts);
@@ -327,12 +331,14 @@
 {
     const time_point now = loop_.now();
     if (admission::is_measurement_due(body_memory_, now)) {
-        std::size_t held = 0;
+        std::size_t held = loop_.finishing_bytes();
         for (const auto& [caller, owned] : callers_) {
-            held += caller->held_bytes();
+            caller->set_accounted_bytes(caller->held_bytes());
+            held += caller->accounted_bytes();
         }
         admission::on_measured(body_memory_, held, now);
     }
+    plan_relief();
     return body_memory_;
 }
 
@@ -365,6 +371,7 @@
 {
     const time_point now = loop_.now();
     metrics_.caller_connections_.Set(static_cast<double>(callers_.size()));
+    metrics_.caller_memory_.Set(static_cast<double>(body_memory_.held_));
     metrics_.requests_in_progress_.Set(
         static_cast<double>(std::count_if(callers_.begin(), callers_.end(), [](const auto& entry) {
             return entry.first->is_busy();
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -5,6 +5,7 @@
 
 #include "admission/admission.hpp"
 #include "admission/body_memory.hpp"
+#include "admission/holder.hpp"
 #include "admission/quarantine.hpp"
 #include "base/error.hpp"
 #include "base/mailbox.hpp"
@@ -161,6 +162,11 @@
     const std::string& target_name(service_state& service, routing::target_index target);
     // Memory for bodies in progress, measured recently.
     const admission::body_memory& measured_body_memory();
+    // Changes the account by what one connection holds, and whether it must end by itself.
+    void change_held(std::size_t before, std::size_t after);
+    [[nodiscard]] bool must_give_way(std::size_t held) const;
+    // For the body bytes of the read in progress.
+    [[nodiscard]] std::string& read_buffer() { return read_buffer_; }
     // Bytes that one body may occupy now, out of the usual limit.
     std::size_t body_limit(std::size_t usual);
     // When an answer of a target, to a probe or a request, was last received.
@@ -240,6 +246,10 @@
     void apply_probe_share(service_state& service);
     void publish(const pool_counters& counted);
     void publish_limits();
+    void make_room_for_caller();
+    void plan_relief();
+    void relieve_memory();
+    [[nodiscard]] std::vector<admission::holder> holders(std::vector<caller_connection*>& at) const;
     void end_idle_callers();
     void check_stopped();
 
@@ -255,6 +265,8 @@
     admission::state admission_;
     admission::quarantine quarantine_;
     admission::body_memory body_memory_;
+    bool relief_due_ = false;
+    std::string read_buffer_;
     mailbox<std::function<void(http_task&)>> inbox_;
     std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>> callers_;
     std::string request_id_prefix_;
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -71,8 +71,11 @@
 
 } // namespace
 
-proxied_call::proxied_call(http_task& owner, caller_connection& caller, const request_head& head)
-    : http_task_{owner}, caller_{caller}, head_{head}
+proxied_call::proxied_call(http_task& owner, caller_connection& caller, request_head head)
+    : http_task_{owner},
+      caller_{caller},
+      head_{std::move(head)},
+      head_bytes_{http::held_bytes(head_)}
 {
     for (std::size_t i = 0; i < exchanges_.size(); ++i) {
         exchanges_[i].call_ = this;
@@ -122,12 +125,17 @@
         return;
     }
     const bool has_body = head_.chunked_ || head_.content_length_.value_or(0) > 0;
-    if (has_body && !admission::accepts_body(http_task_.measured_body_memory())) {
+    const admission::body_memory& memory = http_task_.measured_body_memory();
+    if (has_body && !admission::accepts_body(memory)) {
         refuse({status_unavailable, "not-run",
                 "too many bodies are in progress on this host; use another",
                 duration{crowded_retry_after}, false});
         return;
     }
+    if (!admission::accepts_head(memory, head_bytes_)) {
+        refuse_for_room();
+        return;
+    }
     if (head_.content_length_.value_or(0) > http_task_.limits().max_body_bytes_) {
         refuse({status_too_large, "not-run", "the body is over the limit", std::nullopt, false});
         return;
@@ -228,16 +236,22 @@
 
 std::size_t proxied_call::held_bytes() const
 {
-    std::size_t held = body_.size();
+    std::size_t held = head_bytes_ + body_.capacity();
     for (const attempt_exchange& exchange : exchanges_) {
-        held += exchange.buffered_body_.size();
+        held += exchange.buffered_body_.capacity();
         if (exchange.connection_ != nullptr) {
-            held += exchange.connection_->queued();
+            held += exchange.connection_->held_bytes();
         }
     }
     return held;
 }
 
+void proxied_call::refuse_for_room()
+{
+    refuse({status_unavailable, "not-run", "this host is short of memory; use another",
+            duration{crowded_retry_after}, false});
+}
+
 // A body without a length has turned out too large; a target may have received a part of it.
 void proxied_call::reject_oversized_body()
 {
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -53,7 +53,7 @@
 
 class proxied_call {
 public:
-    proxied_call(http_task& owner, caller_connection& caller, const request_head& head);
+    proxied_call(http_task& owner, caller_connection& caller, request_head head);
     ~proxied_call();
     proxied_call(const proxied_call&) = delete;
     proxied_call& operator=(const proxied_call&) = delete;
@@ -76,9 +76,15 @@
     // Everything queued for the caller has been written to its socket.
     void on_caller_drained();
 
-    // Bytes of bodies that this call holds, without those queued for the caller.
+    // Memory that this call holds, without what is queued for the caller.
     [[nodiscard]] std::size_t held_bytes() const;
 
+    // Whether a target has been looked for.
+    [[nodiscard]] bool is_dispatched() const { return dispatched_; }
+
+    // Refuses a request that is not dispatched, since the host is short of room.
+    void refuse_for_room();
+
 private:
     friend class attempt_exchange;
 
@@ -142,6 +148,7 @@
     http_task& http_task_;
     caller_connection& caller_;
     request_head head_;
+    std::size_t head_bytes_;                      // of memory
     std::shared_ptr<const routes::table> routes_; // keeps route_ valid during the call
     const routes::route* route_ = nullptr;
     service_state* service_ = nullptr;
--- a/src/http/upstream_connection.cpp
+++ b/src/http/upstream_connection.cpp
@@ -72,6 +72,11 @@
     return stream_ == nullptr ? 0 : stream_->queued();
 }
 
+std::size_t upstream_connection::held_bytes() const
+{
+    return stream_ == nullptr ? 0 : stream_->held_bytes();
+}
+
 bool upstream_connection::may_have_sent_request() const
 {
     return head_sent_ && (stream_ == nullptr || stream_->bytes_written() > written_before_);
--- a/src/http/upstream_connection.hpp
+++ b/src/http/upstream_connection.hpp
@@ -42,6 +42,9 @@
     // Bytes that the kernel has not accepted yet.
     [[nodiscard]] std::size_t queued() const;
 
+    // Memory for queued bytes.
+    [[nodiscard]] std::size_t held_bytes() const;
+
     // Whether any byte of the current request may have left this host.
     [[nodiscard]] bool may_have_sent_request() const;
 
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -139,6 +139,7 @@
     required_name(in, "data_centre", out.data_centre_);
     required_name(in, "region", out.region_);
     in.optional("hosts_max", out.hosts_max_, {1, 10'000});
+    in.optional("memory_mb", out.memory_mb_, {32, 1 << 20});
     in.reject_unknown();
 }
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -4,6 +4,7 @@
 // to. They are read once at start; operators change the two lists (plans/) while the process runs.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +39,7 @@
     std::string region_;      // "/host/region"
     std::uint32_t hosts_max_ =
         24; // maximum number of entry hosts at any time; every fleet-wide total is divided by it
+    std::uint32_t memory_mb_ = 0; // that the process may use; 0: not known
 };
 
 // The listener that callers connect to.
@@ -46,8 +48,8 @@
     std::optional<tls_identity> tls_;
     std::uint32_t max_connections_ = 4096;
     std::uint32_t max_header_bytes_ = 16384;
-    std::uint32_t body_memory_mb_ = 32; // for bodies of requests and answers in progress
-    milliseconds idle_timeout_{60000};  // closes a connection that has had no request for this long
+    std::uint32_t body_memory_mb_ = 0; // for all that callers make the host hold; 0: derived
+    milliseconds idle_timeout_{60000}; // closes a connection that has had no request for this long
     milliseconds header_timeout_{
         10000};                   // from the first byte of a request to the end of its header
     milliseconds stop_lag_{3000}; // how long to keep accepting after readiness fails
@@ -184,6 +186,11 @@
     std::uint32_t lines_per_second_ = 500; // lines above this rate are dropped and counted
 };
 
+struct settings;
+
+// Bytes for all that callers make the host hold: as set, else by the memory of the host.
+std::size_t caller_memory_bytes(const settings& config);
+
 // All settings of one process.
 struct settings {
     host host_;
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -108,6 +108,11 @@
                            "Time from a request's head to the end of its answer."),
         gauge(registry, "requests_in_progress", "Requests that have not ended."),
         gauge(registry, "caller_connections", "Open connections of callers."),
+        gauge(registry, "caller_memory_bytes", "Memory that callers make the host hold."),
+        counter(registry, "callers_given_up_total",
+                "Connections closed or refused since they held room without progress."),
+        counter(registry, "callers_turned_away_total",
+                "New connections closed since all others make progress."),
         register_counter_set<decltype(metrics::attempts_)>(
             registry, "attempts_total", "Attempts on targets, by how they ended.", "end",
             attempt_ends),
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -61,6 +61,9 @@
         request_duration_; // seconds, from the request's header to the end of the answer
     prometheus::Gauge& requests_in_progress_;
     prometheus::Gauge& caller_connections_;
+    prometheus::Gauge& caller_memory_; // bytes
+    prometheus::Counter& callers_given_up_;
+    prometheus::Counter& callers_turned_away_;
 
     counter_set<routing::attempt_end, routing::attempt_end::abandoned> attempts_;
     prometheus::Counter& retries_;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -59,6 +59,16 @@
     CHECK(!parsed->admin_);
 }
 
+TEST(settings, the_memory_for_callers_is_set_or_derived_from_the_hosts_own)
+{
+    settings::settings config;
+    LONGS_EQUAL(32U << 20U, settings::caller_memory_bytes(config));
+    config.host_.memory_mb_ = 160;
+    LONGS_EQUAL(40U << 20U, settings::caller_memory_bytes(config));
+    config.listen_.body_memory_mb_ = 7;
+    LONGS_EQUAL(7U << 20U, settings::caller_memory_bytes(config));
+}
+
 TEST(settings, each_mistake_gives_one_error_with_place_and_remedy)
 {
     const std::string id = R"("id": "mobile-1")";
@@ -74,6 +84,7 @@
          "s.json#/header_names", "names a \"limit\" that this host would not keep"},
         {id, id + "," + id, "s.json#/host/id", "appears twice in one object"},
         {id, id + R"(, "hosts_max": 0)", "s.json#/host/hosts_max", "is 0, out of range"},
+        {id, id + R"(, "memory_mb": 31)", "s.json#/host/memory_mb", "is 31, out of range"},
         {id, id + R"(, "hosts_max": 1.5)", "s.json#/host/hosts_max", "is not an integer"},
         {id, id + R"(, "hosts_max": 18446744073709551615)", "s.json#/host/hosts_max",
          "is 18446744073709551615, out of range"},
