Let the page addresses serve one request at a time and keep few unread answers

Cause: requests sent ahead to the readiness, metrics and feed addresses were answered without end, whether the answers were read or not, from a recursion; when all connections were taken, the platform's own check was turned away.

--- a/src/http/page_connection.cpp
+++ b/src/http/page_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/page_connection.hpp"
 
+#include "http/event_loop.hpp"
 #include "http/page_server.hpp"
 
 #include <fmt/format.h>
@@ -20,6 +21,7 @@
     : server_{owner},
       stream_{&stream},
       self_{std::make_shared<page_connection*>(this)},
+      progress_at_{owner.loop().now()},
       reader_{header_max_bytes}
 {
 }
@@ -31,6 +33,11 @@
     }
 }
 
+bool page_connection::is_idle() const
+{
+    return !request_in_progress_ && unread_bytes_ == 0;
+}
+
 void page_connection::on_data(std::string_view bytes)
 {
     body_.clear();
@@ -38,19 +45,26 @@
         close_gracefully();
         return;
     }
-    serve_pending_requests();
-}
-
-void page_connection::serve_pending_requests()
-{
-    while (stream_ != nullptr && !request_in_progress_ && reader_.complete()) {
-        serve_request();
+    if (reader_.has_head() && reader_.pending_bytes() > header_max_bytes) {
+        close_abruptly(); // many requests sent ahead, which no reader of pages does
+        return;
     }
+    if (!is_idle()) {
+        return;
+    }
+    serve_next();
 }
 
-void page_connection::serve_request()
+// Serves the next request once its head is there. One with a body is the last: the body is not
+// read.
+void page_connection::serve_next()
 {
+    if (!reader_.has_head()) {
+        return;
+    }
     request_in_progress_ = true;
+    progress_at_ = server_.loop().now();
+    keep_alive_ = reader_.complete() && reader_.head().keep_alive_;
     server_.answer(reader_.head().target_,
                    [weak = std::weak_ptr<page_connection*>{self_}](const page& content) {
                        if (const auto connection = weak.lock()) {
@@ -64,22 +78,39 @@
     if (!std::exchange(request_in_progress_, false)) {
         return;
     }
-    const bool keep_alive = reader_.head().keep_alive_;
     stream_->write(fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n{}\r\n",
                                content.status_, content.status_ < 300 ? "OK" : "Unavailable",
                                content.content_type_, content.body_.size(),
-                               keep_alive ? "" : "Connection: close\r\n"));
+                               keep_alive_ ? "" : "Connection: close\r\n"));
     stream_->write(content.body_);
-    if (!keep_alive) {
+    if (!keep_alive_) {
         close_gracefully();
         return;
     }
     reader_.next();
+    unread_bytes_ = stream_->held_bytes();
+    server_.change_unread(0, unread_bytes_);
+}
+
+// The answer has been sent: the next request may follow.
+void page_connection::on_drained()
+{
+    if (unread_bytes_ == 0) {
+        return;
+    }
+    drop_unread();
+    progress_at_ = server_.loop().now();
+    body_.clear();
     if (!reader_.feed({}, body_)) {
         close_gracefully();
         return;
     }
-    serve_pending_requests();
+    serve_next();
+}
+
+void page_connection::drop_unread()
+{
+    server_.change_unread(std::exchange(unread_bytes_, 0), 0);
 }
 
 void page_connection::close_gracefully()
@@ -88,6 +119,17 @@
     if (stream_ != nullptr) {
         std::exchange(stream_, nullptr)->finish(linger_time);
     }
+    drop_unread();
+    server_.remove_connection(*this);
+}
+
+void page_connection::close_abruptly()
+{
+    self_.reset();
+    if (stream_ != nullptr) {
+        std::exchange(stream_, nullptr)->close();
+    }
+    drop_unread();
     server_.remove_connection(*this);
 }
 
@@ -95,6 +137,7 @@
 {
     self_.reset();
     stream_ = nullptr;
+    drop_unread();
     server_.remove_connection(*this);
 }
 
--- a/src/http/page_server.hpp
+++ b/src/http/page_server.hpp
@@ -31,6 +31,8 @@
 public:
     using page_handler = std::function<void(std::string_view path, const page_reply&)>;
 
+    // When `connections_max` are open, the one without progress for the longest gives way to a new
+    // one.
     page_server(event_loop& loop, std::size_t connections_max, page_handler answer);
     ~page_server();
     page_server(const page_server&) = delete;
@@ -42,12 +44,19 @@
     result<std::uint16_t> open(const settings::endpoint& address);
 
     // Called by the connections.
+    [[nodiscard]] event_loop& loop() const { return loop_; }
     void answer(std::string_view path, const page_reply& reply) const { answer_(path, reply); }
+    void change_unread(std::size_t before, std::size_t after);
     void remove_connection(page_connection& closed);
 
 private:
     event_loop& loop_;
-    std::size_t connections_max_; // further connections are closed immediately
+    void make_room();
+    void relieve_memory();
+
+    std::size_t connections_max_;
+    std::size_t unread_bytes_ = 0; // of answers, on all connections
+    std::uint64_t relief_timer_ = 0;
     page_handler answer_;
     std::unordered_map<page_connection*, std::unique_ptr<page_connection>> connections_;
 };
