Say why an allotment was refused, and ask for each request until a granter has heard

Cause: a granter that had just started named no organisation as near its limit before the first use was reported, so a host let everything through for half a second; its refusals did not say who decided. Change: an organisation counts as near its limit until a report shows otherwise; log line allotment_refused.

--- a/src/http/proxied_call_allotment.cpp
+++ b/src/http/proxied_call_allotment.cpp
@@ -3,11 +3,13 @@
 
 #include "http/caller_connection.hpp"
 #include "http/http_task.hpp"
+#include "http/log_fields.hpp"
 #include "http/proxied_call.hpp"
 #include "telemetry/log.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <utility>
 
 namespace savoryscale::http {
@@ -30,7 +32,6 @@
             allotment_check_ = 0;
             on_allotment_decided(decided);
         });
-    // The call may have ended meanwhile, but not without an answer to its caller.
     allotment_check_ = waiting;
 }
 
@@ -45,6 +46,10 @@
     const duration spread{static_cast<std::int64_t>(
         uniform_unit(http_task_.random()) *
         static_cast<double>(duration{allotment_retry_spread}.count()))};
+    telemetry::decided("allotment_refused", request_id_,
+                       {{"organisation", organisation_->name_},
+                        {"by", std::string{to_string(decided.by_)}},
+                        {"wait_ms", log_ms(decided.wait_)}});
     refuse(admission::send_verdict{admission::refusal_cause::over_allotment,
                                    decided.wait_ + spread});
 }
--- a/src/organisations/allotment_granter.cpp
+++ b/src/organisations/allotment_granter.cpp
@@ -151,6 +151,7 @@
             account.tokens_ = welcome_part * spare_of(each.allotment_, granter.bounds_);
         }
         const auto added = granter.accounts_.emplace(name, account).first;
+        granter.near_limit_.insert(name); // until a report shows otherwise
         if (granter.present_ > 0) {
             fill(granter, name, added->second, share);
         }
--- a/src/organisations/allotment_use.cpp
+++ b/src/organisations/allotment_use.cpp
@@ -100,10 +100,10 @@
             }
         }
         else if (own.denied_until_ > now) {
-            return {use_verdict::refused, own.denied_until_ - now};
+            return {use_verdict::refused, own.denied_until_ - now, use_decider::denied};
         }
     }
-    return may_ask ? use_decision{use_verdict::ask, {}}
+    return may_ask ? use_decision{use_verdict::ask}
                    : decide_alone(use, organisation, limit, now, random);
 }
 
@@ -136,7 +136,7 @@
         ++own.unreported_;
         return {};
     }
-    return {use_verdict::refused, contact_time};
+    return {use_verdict::refused, contact_time, use_decider::alone};
 }
 
 void give_back(allotment_use& use, name_hash organisation)
--- a/src/organisations/allotment_use.hpp
+++ b/src/organisations/allotment_use.hpp
@@ -6,8 +6,11 @@
 #include "base/random.hpp"
 #include "organisations/allotment.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 
 namespace savoryscale::organisations {
@@ -38,11 +41,25 @@
     refused,
 };
 
+enum class use_decider : std::uint8_t {
+    granter,
+    denied, // this host, until the time that the granter named
+    alone,  // this host, by its part
+};
+
 struct use_decision {
     use_verdict verdict_ = use_verdict::passed;
     duration wait_{}; // if refused: until a request may pass
+    use_decider by_ = use_decider::granter; // if refused
 };
 
+// Name in logs.
+constexpr std::string_view to_string(use_decider by)
+{
+    constexpr std::array<std::string_view, 3> names{"granter", "denied", "alone"};
+    return names[static_cast<std::size_t>(by)];
+}
+
 // `may_ask`: a granter may be within reach.
 use_decision decide(allotment_use&, name_hash, const allotment&, bool may_ask, time_point now,
                     random_source&);
