Decide who is served while room is short (first slice)

Change: admission/room.hpp holds the decision: from the targets that recent searches probed it tells whether room is short, from the caller's stated limit how long it has been trying; a late caller then takes idle or slowed targets only, and returns after a good part of its time. Nobody waits at a target unless it is expected to be in time.

--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -165,6 +165,7 @@
     const duration longest =
         route_->timeout_ > duration::zero() ? route_->timeout_ : duration{config.deadline_};
     caller_time_limit_ = time_limit_of(head_, http_task_.config().header_names_.deadline_);
+    note_time_limit();
     deadline_ = now + std::min(longest, caller_time_limit_.value_or(longest));
     telemetry::decided("request_routed", request_id_,
                        {{"route", route_->name_},
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -4,6 +4,7 @@
 // connection and the upstream connections of its attempts.
 
 #include "admission/quarantine.hpp"
+#include "admission/room.hpp"
 #include "admission/send_check.hpp"
 #include "base/clock.hpp"
 #include "dispatch/call.hpp"
@@ -109,6 +110,10 @@
     std::vector<routing::target_index> tried_targets(dispatch::attempt_id before) const;
     void connect_attempt(attempt_exchange& attempt, upstream_connection* connection);
     std::optional<time_point> objective_time() const;
+    admission::room_request room_request() const;
+    void note_time_limit();
+    void log_room(admission::standing chosen) const;
+    duration return_time(const search_result& found) const;
     void begin_search(attempt_exchange& attempt);
     bool may_relay() const;
     bool is_relayed() const;
@@ -148,6 +153,8 @@
     const organisations::organisation* organisation_ = nullptr; // of the caller; null: unknown
     std::optional<organisations::key_digest> key_;              // that the caller sent
     std::optional<duration> caller_time_limit_; // as the caller states it; none: it states none
+    duration time_tried_{}; // since the caller's first try, as far as its limit shows
+    admission::standing standing_ = admission::standing::ample; // at the last search
     dispatch::call state_;
     std::array<attempt_exchange, dispatch::attempts_max> exchanges_;
     std::optional<dispatch::idempotency_claim> claim_;
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -82,14 +82,6 @@
     return tried;
 }
 
-// When the answer is due by the route's latency objective; none without an objective.
-std::optional<time_point> proxied_call::objective_time() const
-{
-    return route_->latency_objective_ > duration::zero()
-               ? std::optional{started_ + route_->latency_objective_}
-               : std::nullopt;
-}
-
 // While a target is searched for, the rest of a long body stays with the caller: it would delay the
 // answers to the probes on this host's link, and may have to be refused.
 void proxied_call::begin_search(attempt_exchange& attempt)
@@ -107,9 +99,12 @@
         }
         return;
     }
+    standing_ = attempt.is_hedge_ ? admission::standing::ample
+                                  : admission::standing_of(service_->room_, room_request(),
+                                                           http_task_.loop().now());
     const auto search = std::make_shared<target_search>(
         http_task_, *service_, tried_targets(attempt.id_), !attempt.is_hedge_, priority(),
-        objective_time(), time_left(),
+        search_claim{standing_, objective_time(), route_->latency_objective_}, time_left(),
         [this, &attempt](const search_result& found) { on_search_done(attempt, found); });
     attempt.search_ = search;
     search->start();
@@ -122,6 +117,7 @@
         caller_.resume_reading();
     }
     const duration left = time_left();
+    log_room(standing_);
     const bool wanted =
         !attempt.is_hedge_ ||
         (routing::has_free_target(service_->view_, found.probed_, http_task_.loop().now()) &&
@@ -159,12 +155,12 @@
               : ""}});
     limited_ = found.end_ == routing::search_end::limited;
     if (!found.placed_ && !attempt.is_hedge_ && service_->reach_.lost_at_ && may_relay()) {
-        retry_after_ = found.retry_after_;
+        retry_after_ = return_time(found);
         begin_relay(attempt);
         return;
     }
     if (!in_time) {
-        retry_after_ = found.retry_after_;
+        retry_after_ = return_time(found);
         connect_attempt(attempt, nullptr);
         return;
     }
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -3,6 +3,7 @@
 // State that the HTTP task keeps for one service and its targets.
 
 #include "admission/quarantine.hpp"
+#include "admission/room.hpp"
 #include "http/connection_pool.hpp"
 #include "routing/placement.hpp"
 #include "routing/reachability.hpp"
@@ -10,8 +11,10 @@
 #include "routing/service_view.hpp"
 #include "settings/settings.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace savoryscale::http {
@@ -34,6 +37,8 @@
     routing::placement_budget placement_budget_;
     routing::probe_times probe_times_;
     routing::reachability reach_;
+    admission::room room_;
+    std::map<std::string, admission::stated_limits, std::less<>> stated_limits_; // by route
     std::map<routing::target_index, target_connections> targets_;
     std::vector<routing::target_info> listed_;
     std::size_t target_count_ = 0;   // without those that are leaving
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -16,6 +16,36 @@
 
 constexpr routing::placement_options options;
 
+// Rounds of a search for a caller whose objective has passed while room is short: the probes saved
+// serve those who can still be answered in time.
+constexpr std::size_t overdue_rounds_max = 1;
+
+// The order of what a caller may claim: the first of the options that allows a target is used.
+std::vector<routing::placement_options> options_for(const search_claim& claim, time_point now)
+{
+    using admission::standing;
+    if (claim.standing_ == standing::ample) {
+        return {options};
+    }
+    routing::placement_options in_time = options;
+    if (claim.objective_time_) {
+        in_time.expected_max_ = *claim.objective_time_ - now;
+    }
+    routing::placement_options left_over = options;
+    left_over.may_wait_ = false;
+    left_over.spared_ = claim.objective_;
+    routing::placement_options any_free = options;
+    any_free.may_wait_ = false;
+    switch (claim.standing_) {
+    case standing::timely:
+        return {in_time, left_over};
+    case standing::closing:
+        return {any_free};
+    default:
+        return {left_over};
+    }
+}
+
 // Age of a target's limit at which it is probed again although it gets no grant.
 constexpr duration limit_age_max = std::chrono::seconds{1};
 
@@ -29,7 +59,7 @@
 
 target_search::target_search(http_task& owner, service_state& service,
                              std::vector<routing::target_index> exclude, bool limited_allowed,
-                             std::uint32_t priority, std::optional<time_point> objective_time,
+                             std::uint32_t priority, const search_claim& claim,
                              duration time_left, done_function done)
     : http_task_{owner},
       service_{service},
@@ -37,7 +67,7 @@
       exclude_{std::move(exclude)},
       limited_allowed_{limited_allowed},
       priority_{priority},
-      objective_time_{objective_time},
+      claim_{claim},
       done_{std::move(done)},
       started_{owner.loop().now()},
       patience_ends_{started_ + routing::patience(service.probe_times_, time_left)}
@@ -179,12 +209,15 @@
     }
     const time_point now = http_task_.loop().now();
     const auto objective_left =
-        objective_time_ ? std::optional{*objective_time_ - now} : std::nullopt;
+        claim_.objective_time_ ? std::optional{*claim_.objective_time_ - now} : std::nullopt;
     const auto placed = place();
     const routing::search_findings found{
         routing::has_free_target(service_.view_, probed_, now),
         routing::is_acceptable_when_scarce(service_.placement_budget_, placed, objective_left)};
-    switch (routing::next_step(progress_, found, options.rounds_max_)) {
+    const bool is_late = claim_.standing_ == admission::standing::overdue ||
+                         claim_.standing_ == admission::standing::closing;
+    switch (routing::next_step(progress_, found,
+                               is_late ? overdue_rounds_max : options.rounds_max_)) {
     case routing::search_step::wait:
         wait();
         return;
@@ -273,8 +306,23 @@
 
 std::optional<routing::placed_attempt> target_search::place() const
 {
-    return routing::place(service_.view_, probed_, options, http_task_.loop().now(),
-                          http_task_.random());
+    const time_point now = http_task_.loop().now();
+    for (const routing::placement_options& each : options_for(claim_, now)) {
+        if (const auto placed =
+                routing::place(service_.view_, probed_, each, now, http_task_.random())) {
+            return placed;
+        }
+    }
+    return std::nullopt;
+}
+
+// Tells admission what this search has seen of the room at the targets.
+void target_search::note_room()
+{
+    const duration within = claim_.objective_ > duration::zero() ? claim_.objective_ : duration::max();
+    const time_point now = http_task_.loop().now();
+    admission::on_room_seen(service_.room_, probed_.size(),
+                            routing::count_in_time(service_.view_, probed_, within, now), now);
 }
 
 // When no probe was answered although this host has heard from targets meanwhile, its link is busy
@@ -339,6 +387,7 @@
     result.placed_ = placed;
     routing::on_search_ended(service_.placement_budget_, probed_,
                              routing::own_in_flight(service_.view_), result.placed_.has_value());
+    note_room();
     http_task_.limit_extra_attempts(service_);
     result.retry_after_ = retry_after(silent);
     result.probes_ = progress_.sent_;
--- a/src/http/target_search.hpp
+++ b/src/http/target_search.hpp
@@ -3,6 +3,7 @@
 // Finds the target for one attempt by probing a few targets just before the attempt is sent; see
 // routing/placement.hpp and routing/search_progress.hpp.
 
+#include "admission/room.hpp"
 #include "http/timer_queue.hpp"
 #include "routing/limit_granter.hpp"
 #include "routing/placement.hpp"
@@ -19,6 +20,13 @@
 class http_task;
 struct service_state;
 
+// What the caller may claim of the room at the targets, and its answer's due times.
+struct search_claim {
+    admission::standing standing_ = admission::standing::ample;
+    std::optional<time_point> objective_time_; // by the route's objective; none: it has none
+    duration objective_{};                     // of the route, for a caller's first try
+};
+
 // Result of a search. If no target was found, `retry_after_` is the expected wait for a slot.
 struct search_result {
     std::optional<routing::placed_attempt> placed_;
@@ -34,13 +42,11 @@
     using done_function = std::function<void(const search_result&)>;
 
     // `limited_allowed`: targets that name a limit may be chosen; `priority`: of the route.
-    // `objective_time`: when the answer is due by the route's latency objective; none: the route
-    // has no objective. `time_left`: until the request's deadline. `done` is not called once the
-    // last owner has dropped the search.
+    // `time_left`: until the request's deadline. `done` is not called once the last owner has
+    // dropped the search.
     target_search(http_task& owner, service_state& service,
                   std::vector<routing::target_index> exclude, bool limited_allowed,
-                  std::uint32_t priority, std::optional<time_point> objective_time,
-                  duration time_left, done_function done);
+                  std::uint32_t priority, const search_claim& claim, duration time_left, done_function done);
     ~target_search();
     target_search(const target_search&) = delete;
     target_search& operator=(const target_search&) = delete;
@@ -56,6 +62,7 @@
     void proceed();
     void wait();
     std::optional<routing::placed_attempt> place() const;
+    void note_room();
     std::optional<routing::placed_attempt> place_without_answer();
     bool is_denied(routing::target_index target) const;
     void deny(routing::target_index target);
@@ -74,7 +81,7 @@
     std::vector<routing::target_index> exclude_; // including the targets already probed
     bool limited_allowed_;
     std::uint32_t priority_;
-    std::optional<time_point> objective_time_;
+    search_claim claim_;
     done_function done_;
     std::vector<routing::probed_target> probed_;
     routing::search_progress progress_;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -92,7 +92,7 @@
 placed_attempt attempt_at(const service_view& view, target_index target, const cost& own)
 {
     const double latency_ratio = own.wait_ + own.work_;
-    const double expected = view.mean_latency_ns_ * latency_ratio;
+    const double expected = static_cast<double>(usual_work(view).count()) * latency_ratio;
     return {target, latency_ratio, duration{static_cast<std::int64_t>(expected)}};
 }
 
@@ -101,10 +101,22 @@
 {
     const target_state& target = view.targets_[probed.target_];
     const double slots = slots_of(view, target, probed.load_.value_or(load_report{}));
-    const double queue = slots > options.few_slots_ ? 0 : options.queue_max_;
+    const bool may_wait = options.may_wait_ && slots <= options.few_slots_;
+    const double queue = may_wait ? options.queue_max_ : 0;
     return requests_at(target, probed) >= slots * (1 + queue);
 }
 
+// Whether the options allow the attempt at this target, which is not full.
+bool is_allowed(const service_view& view, const probed_target& probed, const placed_attempt& own,
+                const placement_options& options)
+{
+    if (options.expected_max_ && own.expected_ > *options.expected_max_) {
+        return false;
+    }
+    const bool is_idle = requests_at(view.targets_[probed.target_], probed) < 1;
+    return !options.spared_ || is_idle || own.expected_ > *options.spared_;
+}
+
 // From a random sample, the targets with the fewest expected requests in flight.
 std::vector<target_index> least_loaded_of_sample(const service_view& view,
                                                  std::vector<target_index> from, std::size_t count,
@@ -210,6 +222,23 @@
     });
 }
 
+std::size_t count_in_time(const service_view& view, std::span<const probed_target> probed,
+                          duration within, time_point now)
+{
+    placement_options free;
+    free.may_wait_ = false;
+    return static_cast<std::size_t>(
+        std::count_if(probed.begin(), probed.end(), [&](const probed_target& one) {
+            return !is_full(view, one, free) &&
+                   attempt_at(view, one.target_, cost_of(view, one, now)).expected_ <= within;
+        }));
+}
+
+duration usual_work(const service_view& view)
+{
+    return duration{static_cast<std::int64_t>(view.mean_latency_ns_)};
+}
+
 std::optional<placed_attempt> place(const service_view& view, std::span<const probed_target> probed,
                                     const placement_options& options, time_point now,
                                     random_source& random)
@@ -222,6 +251,10 @@
             continue;
         }
         const cost own = cost_of(view, one, now);
+        const placed_attempt attempt = attempt_at(view, one.target_, own);
+        if (!is_allowed(view, one, attempt, options)) {
+            continue;
+        }
         const double total = own.total();
         const bool replaces = !best || total < best_cost ||
                               (total == best_cost && uniform_below(random, ++equals) == 0);
@@ -232,7 +265,7 @@
             equals = 1;
         }
         best_cost = total;
-        best = attempt_at(view, one.target_, own);
+        best = attempt;
     }
     return best;
 }
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -34,6 +34,11 @@
     // arrives, and a full target is slow for all of them.
     double queue_max_ = 0.5;
     double few_slots_ = 2;
+    bool may_wait_ = true; // false: a target without a free slot is full
+    // Targets that are expected to take longer are not chosen.
+    std::optional<duration> expected_max_;
+    // Targets that would answer within this time are left to others, unless they are idle.
+    std::optional<duration> spared_;
 };
 
 // The targets to probe next, without those in `exclude`: the least loaded of a random sample. The
@@ -69,6 +74,13 @@
 // search. A target that names a limit counts only if all of them do.
 bool has_free_target(const service_view&, std::span<const probed_target>, time_point now);
 
+// How many of the targets have a free slot and are expected to answer within this time.
+std::size_t count_in_time(const service_view&, std::span<const probed_target>, duration within,
+                          time_point now);
+
+// The expected latency at a free target. Zero before the first answer of the service.
+duration usual_work(const service_view&);
+
 // The target with the lowest cost, and its expected latency. None when all are full.
 struct placed_attempt {
     target_index target_ = 0;
