Let placement's claims be a decision of routing; check expected times against what came

Change: the usual work is learned as latency over expected ratio. slot_claim.hpp says at which targets a caller's claim allows an attempt.

--- a/src/admission/room.hpp
+++ b/src/admission/room.hpp
@@ -46,10 +46,12 @@
     closing, // it cannot, and may not return again
     overdue, // it cannot, and has time to return
 };
+inline constexpr std::array<std::string_view, 4> standing_names{"ample", "timely", "closing",
+                                                                "overdue"};
+
 constexpr std::string_view to_string(standing value)
 {
-    constexpr std::array<std::string_view, 4> names{"ample", "timely", "closing", "overdue"};
-    return names[static_cast<std::size_t>(value)];
+    return standing_names[static_cast<std::size_t>(value)];
 }
 
 struct room_request {
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -34,6 +34,7 @@
 class connection_pool;
 class http_task;
 class target_search;
+struct search_claim;
 struct search_result;
 struct service_state;
 
@@ -112,7 +113,7 @@
     std::optional<time_point> objective_time() const;
     admission::room_request room_request() const;
     void note_time_limit();
-    void log_room(admission::standing chosen) const;
+    search_claim claim_room(const attempt_exchange& attempt);
     duration return_time(const search_result& found) const;
     void begin_search(attempt_exchange& attempt);
     bool may_relay() const;
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -99,12 +99,9 @@
         }
         return;
     }
-    standing_ = attempt.is_hedge_ ? admission::standing::ample
-                                  : admission::standing_of(service_->room_, room_request(),
-                                                           http_task_.loop().now());
     const auto search = std::make_shared<target_search>(
         http_task_, *service_, tried_targets(attempt.id_), !attempt.is_hedge_, priority(),
-        search_claim{standing_, objective_time(), route_->latency_objective_}, time_left(),
+        claim_room(attempt), time_left(),
         [this, &attempt](const search_result& found) { on_search_done(attempt, found); });
     attempt.search_ = search;
     search->start();
@@ -117,7 +114,6 @@
         caller_.resume_reading();
     }
     const duration left = time_left();
-    log_room(standing_);
     const bool wanted =
         !attempt.is_hedge_ ||
         (routing::has_free_target(service_->view_, found.probed_, http_task_.loop().now()) &&
@@ -164,6 +160,7 @@
         connect_attempt(attempt, nullptr);
         return;
     }
+    attempt.latency_ratio_ = found.placed_->latency_ratio_;
     connect_attempt(attempt, acquire_connection(attempt, found.placed_->target_));
 }
 
@@ -337,7 +334,9 @@
     const routing::target_state& target = service_->view_.targets_[attempt.target_];
     const time_point ejected_before = target.ejected_until_;
     routing::on_attempt_ended(service_->view_,
-                              {attempt.target_, end, attempt.latency_, attempt.load_}, now);
+                              {attempt.target_, end, attempt.latency_, attempt.load_,
+                               attempt.latency_ratio_},
+                              now);
     if (target.ejected_until_ > ejected_before) {
         telemetry::state_change("target_ejected",
                                 {{"service", service_->config_.name_},
--- a/src/http/proxied_call_room.cpp
+++ b/src/http/proxied_call_room.cpp
@@ -6,10 +6,31 @@
 #include "http/proxied_call.hpp"
 #include "http/target_search.hpp"
 #include "routing/placement.hpp"
+#include "routing/slot_claim.hpp"
 #include "telemetry/log.hpp"
 
+#include <fmt/format.h>
+
 namespace savoryscale::http {
 
+namespace {
+
+routing::slot_claim slot_claim_of(admission::standing chosen)
+{
+    switch (chosen) {
+    case admission::standing::timely:
+        return routing::slot_claim::in_time;
+    case admission::standing::closing:
+        return routing::slot_claim::free_slot;
+    case admission::standing::overdue:
+        return routing::slot_claim::left_over;
+    default:
+        return routing::slot_claim::any;
+    }
+}
+
+} // namespace
+
 // The limit of a request that another host hands on is what was left there; it says nothing about
 // the caller.
 void proxied_call::note_time_limit()
@@ -51,19 +72,30 @@
     return admission::return_time(standing_, room_request(), found.retry_after_);
 }
 
-void proxied_call::log_room(admission::standing chosen) const
+// A hedge is sent only to a free target, whatever its caller may claim.
+search_claim proxied_call::claim_room(const attempt_exchange& attempt)
 {
-    if (chosen == admission::standing::ample) {
-        return;
+    const search_claim unbound{routing::slot_claim::any, objective_time(),
+                               route_->latency_objective_};
+    if (attempt.is_hedge_) {
+        return unbound;
     }
     const admission::room& seen = service_->room_;
-    telemetry::decided("room_claimed", request_id_,
-                       {{"standing", std::string{to_string(chosen)}},
-                        {"tried_ms", log_ms(time_tried_)},
-                        {"limit_ms", caller_time_limit_ ? log_ms(*caller_time_limit_) : ""},
-                        {"objective_ms", log_ms(route_->latency_objective_)},
-                        {"priority", std::to_string(priority())},
-                        {"taken", std::to_string(seen.taken_)}});
+    standing_ = admission::standing_of(seen, room_request(), http_task_.loop().now());
+    http_task_.metrics().standings_[standing_].Increment();
+    if (standing_ == admission::standing::ample) {
+        return unbound;
+    }
+    telemetry::decided(
+        "room_claimed", request_id_,
+        {{"standing", std::string{to_string(standing_)}},
+         {"tried_ms", log_ms(time_tried_)},
+         {"limit_ms", caller_time_limit_ ? log_ms(*caller_time_limit_) : ""},
+         {"objective_ms", log_ms(route_->latency_objective_)},
+         {"priority", std::to_string(priority())},
+         {"taken", fmt::format("{:.2f}", seen.taken_)},
+         {"taken_age_ms", log_ms(http_task_.loop().now() - seen.seen_at_)}});
+    return {slot_claim_of(standing_), objective_time(), route_->latency_objective_};
 }
 
 } // namespace savoryscale::http
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -16,36 +16,6 @@
 
 constexpr routing::placement_options options;
 
-// Rounds of a search for a caller whose objective has passed while room is short: the probes saved
-// serve those who can still be answered in time.
-constexpr std::size_t overdue_rounds_max = 1;
-
-// The order of what a caller may claim: the first of the options that allows a target is used.
-std::vector<routing::placement_options> options_for(const search_claim& claim, time_point now)
-{
-    using admission::standing;
-    if (claim.standing_ == standing::ample) {
-        return {options};
-    }
-    routing::placement_options in_time = options;
-    if (claim.objective_time_) {
-        in_time.expected_max_ = *claim.objective_time_ - now;
-    }
-    routing::placement_options left_over = options;
-    left_over.may_wait_ = false;
-    left_over.spared_ = claim.objective_;
-    routing::placement_options any_free = options;
-    any_free.may_wait_ = false;
-    switch (claim.standing_) {
-    case standing::timely:
-        return {in_time, left_over};
-    case standing::closing:
-        return {any_free};
-    default:
-        return {left_over};
-    }
-}
-
 // Age of a target's limit at which it is probed again although it gets no grant.
 constexpr duration limit_age_max = std::chrono::seconds{1};
 
@@ -208,16 +178,12 @@
         return;
     }
     const time_point now = http_task_.loop().now();
-    const auto objective_left =
-        claim_.objective_time_ ? std::optional{*claim_.objective_time_ - now} : std::nullopt;
+    const auto left = objective_left();
     const auto placed = place();
     const routing::search_findings found{
         routing::has_free_target(service_.view_, probed_, now),
-        routing::is_acceptable_when_scarce(service_.placement_budget_, placed, objective_left)};
-    const bool is_late = claim_.standing_ == admission::standing::overdue ||
-                         claim_.standing_ == admission::standing::closing;
-    switch (routing::next_step(progress_, found,
-                               is_late ? overdue_rounds_max : options.rounds_max_)) {
+        routing::is_acceptable_when_scarce(service_.placement_budget_, placed, left)};
+    switch (routing::next_step(progress_, found, routing::rounds_max(claim_.slot_))) {
     case routing::search_step::wait:
         wait();
         return;
@@ -304,10 +270,18 @@
     });
 }
 
+std::optional<duration> target_search::objective_left() const
+{
+    return claim_.objective_time_
+               ? std::optional{*claim_.objective_time_ - http_task_.loop().now()}
+               : std::nullopt;
+}
+
 std::optional<routing::placed_attempt> target_search::place() const
 {
     const time_point now = http_task_.loop().now();
-    for (const routing::placement_options& each : options_for(claim_, now)) {
+    for (const routing::placement_options& each : 
+         routing::options_for(claim_.slot_, objective_left(), claim_.objective_)) {
         if (const auto placed =
                 routing::place(service_.view_, probed_, each, now, http_task_.random())) {
             return placed;
--- a/src/http/target_search.hpp
+++ b/src/http/target_search.hpp
@@ -3,11 +3,11 @@
 // Finds the target for one attempt by probing a few targets just before the attempt is sent; see
 // routing/placement.hpp and routing/search_progress.hpp.
 
-#include "admission/room.hpp"
 #include "http/timer_queue.hpp"
 #include "routing/limit_granter.hpp"
 #include "routing/placement.hpp"
 #include "routing/search_progress.hpp"
+#include "routing/slot_claim.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -22,7 +22,7 @@
 
 // What the caller may claim of the room at the targets, and its answer's due times.
 struct search_claim {
-    admission::standing standing_ = admission::standing::ample;
+    routing::slot_claim slot_ = routing::slot_claim::any;
     std::optional<time_point> objective_time_; // by the route's objective; none: it has none
     duration objective_{};                     // of the route, for a caller's first try
 };
@@ -62,6 +62,7 @@
     void proceed();
     void wait();
     std::optional<routing::placed_attempt> place() const;
+    std::optional<duration> objective_left() const;
     void note_room();
     std::optional<routing::placed_attempt> place_without_answer();
     bool is_denied(routing::target_index target) const;
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -236,7 +236,8 @@
 
 duration usual_work(const service_view& view)
 {
-    return duration{static_cast<std::int64_t>(view.mean_latency_ns_)};
+    const double ns = view.usual_work_ns_ > 0 ? view.usual_work_ns_ : view.mean_latency_ns_;
+    return duration{static_cast<std::int64_t>(ns)};
 }
 
 std::optional<placed_attempt> place(const service_view& view, std::span<const probed_target> probed,
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -4,6 +4,7 @@
 // the references.
 
 #include "admission/admission.hpp"
+#include "admission/room.hpp"
 #include "admission/send_check.hpp"
 #include "routing/target.hpp"
 #include "store/object_api.hpp"
@@ -75,6 +76,7 @@
     prometheus::Counter& quarantined_requests_;
     counter_set<admission::refusal_cause, admission::refusal_cause::target_limits>
         send_refusals_; // refusal_cause::none is never counted
+    counter_set<admission::standing, admission::standing::overdue> standings_;
     prometheus::Gauge& suspects_;
     prometheus::Gauge& services_unreachable_;
     counter_set<direction, direction::received> relayed_requests_;
