--- a/src/http/attempt_exchange.hpp
+++ b/src/http/attempt_exchange.hpp
@@ -47,7 +47,6 @@
     time_point started_{};
     time_point sent_{};
     duration latency_{};
-    double latency_ratio_ = 0; // expected when it was placed; 0: unknown
     std::optional<routing::load_report> load_;
     std::string request_id_;
     std::string target_name_;                 // address and incarnation, for the quarantine
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -160,7 +160,6 @@
         connect_attempt(attempt, nullptr);
         return;
     }
-    attempt.latency_ratio_ = found.placed_->latency_ratio_;
     connect_attempt(attempt, acquire_connection(attempt, found.placed_->target_));
 }
 
@@ -334,9 +333,7 @@
     const routing::target_state& target = service_->view_.targets_[attempt.target_];
     const time_point ejected_before = target.ejected_until_;
     routing::on_attempt_ended(service_->view_,
-                              {attempt.target_, end, attempt.latency_, attempt.load_,
-                               attempt.latency_ratio_},
-                              now);
+                              {attempt.target_, end, attempt.latency_, attempt.load_}, now);
     if (target.ejected_until_ > ejected_before) {
         telemetry::state_change("target_ejected",
                                 {{"service", service_->config_.name_},
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -236,8 +236,7 @@
 
 duration usual_work(const service_view& view)
 {
-    const double ns = view.usual_work_ns_ > 0 ? view.usual_work_ns_ : view.mean_latency_ns_;
-    return duration{static_cast<std::int64_t>(ns)};
+    return duration{static_cast<std::int64_t>(view.mean_latency_ns_)};
 }
 
 std::optional<placed_attempt> place(const service_view& view, std::span<const probed_target> probed,
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -122,17 +122,6 @@
     target.latency_at_ = now;
 }
 
-// Checks the expected latency against what came.
-void record_usual_work(service_view& view, const attempt_report& report)
-{
-    if (report.latency_ratio_ <= 0) {
-        return;
-    }
-    const double ns = static_cast<double>(report.latency_.count()) / report.latency_ratio_;
-    const double weight = std::max(mean_weight, 1.0 / view.latency_count_);
-    view.usual_work_ns_ += weight * (ns - view.usual_work_ns_);
-}
-
 // Removes the start time nearest to `started`; the caller's clock and ours may differ slightly.
 void remove_start(target_state& target, time_point started)
 {
@@ -276,7 +265,6 @@
     count_outcome(view, target, report.end_, now);
     if (report.end_ == attempt_end::answered) {
         record_latency(view, target, report.latency_, now);
-        record_usual_work(view, report);
     }
     if (report.end_ == attempt_end::shed) {
         record_load(view, report.target_, load_when_shedding(view, target, report.load_), true,
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -43,7 +43,6 @@
     double mean_others_in_flight_ = 0; // of other hosts, per target; moving average
     double mean_latency_ns_ = 0;       // moving average of answered attempts, all targets
     double latency_count_ = 0;
-    double usual_work_ns_ = 0; // latency at a free target, by what came of placed attempts
     double mean_failure_ratio_ = 0; // moving average of attempts, all targets
     latency_histogram latencies_;
     probe_budget probes_;
--- a/src/routing/target.hpp
+++ b/src/routing/target.hpp
@@ -63,7 +63,6 @@
     attempt_end end_ = attempt_end::answered;
     duration latency_{};
     std::optional<load_report> load_;
-    double latency_ratio_ = 0; // expected when it was placed, see placed_attempt; 0: unknown
 };
 
 } // namespace savoryscale::routing
--- a/tests/room_test.cpp
+++ b/tests/room_test.cpp
@@ -108,7 +108,7 @@
         }
         routing::service_view view = routing::make_view(service, "", routing::policy::probed);
         routing::update_targets(view, all, now_);
-        view.mean_latency_ns_ = work_s * 1e9;
+        view.mean_latency_ns_ = work_s * 1.7e9; // as under load
         views_.assign(host_count, view);
         for (int i = 0; i < 3000; ++i) {
             after(3ms * i, [this] { change_noise(uniform_below(random_, target_count)); });
