--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -29,7 +29,7 @@
 
 target_search::target_search(http_task& owner, service_state& service,
                              std::vector<routing::target_index> exclude, bool limited_allowed,
-                             std::uint32_t priority, std::optional<time_point> objective_time,
+                             std::uint32_t priority, const search_claim& claim,
                              duration time_left, done_function done)
     : http_task_{owner},
       service_{service},
@@ -37,7 +37,7 @@
       exclude_{std::move(exclude)},
       limited_allowed_{limited_allowed},
       priority_{priority},
-      objective_time_{objective_time},
+      claim_{claim},
       done_{std::move(done)},
       started_{owner.loop().now()},
       patience_ends_{started_ + routing::patience(service.probe_times_, time_left)}
@@ -178,13 +178,12 @@
         return;
     }
     const time_point now = http_task_.loop().now();
-    const auto objective_left =
-        objective_time_ ? std::optional{*objective_time_ - now} : std::nullopt;
+    const auto left = objective_left();
     const auto placed = place();
     const routing::search_findings found{
         routing::has_free_target(service_.view_, probed_, now),
-        routing::is_acceptable_when_scarce(service_.placement_budget_, placed, objective_left)};
-    switch (routing::next_step(progress_, found, options.rounds_max_)) {
+        routing::is_acceptable_when_scarce(service_.placement_budget_, placed, left)};
+    switch (routing::next_step(progress_, found, routing::rounds_max(claim_.slot_))) {
     case routing::search_step::wait:
         wait();
         return;
@@ -271,10 +270,33 @@
     });
 }
 
+std::optional<duration> target_search::objective_left() const
+{
+    return claim_.objective_time_
+               ? std::optional{*claim_.objective_time_ - http_task_.loop().now()}
+               : std::nullopt;
+}
+
 std::optional<routing::placed_attempt> target_search::place() const
 {
-    return routing::place(service_.view_, probed_, options, http_task_.loop().now(),
-                          http_task_.random());
+    const time_point now = http_task_.loop().now();
+    for (const routing::placement_options& each : 
+         routing::options_for(claim_.slot_, objective_left(), claim_.objective_)) {
+        if (const auto placed =
+                routing::place(service_.view_, probed_, each, now, http_task_.random())) {
+            return placed;
+        }
+    }
+    return std::nullopt;
+}
+
+// Tells admission what this search has seen of the room at the targets.
+void target_search::note_room()
+{
+    const duration within = claim_.objective_ > duration::zero() ? claim_.objective_ : duration::max();
+    const time_point now = http_task_.loop().now();
+    admission::on_room_seen(service_.room_, probed_.size(),
+                            routing::count_in_time(service_.view_, probed_, within, now), now);
 }
 
 // When no probe was answered although this host has heard from targets meanwhile, its link is busy
@@ -339,6 +361,7 @@
     result.placed_ = placed;
     routing::on_search_ended(service_.placement_budget_, probed_,
                              routing::own_in_flight(service_.view_), result.placed_.has_value());
+    note_room();
     http_task_.limit_extra_attempts(service_);
     result.retry_after_ = retry_after(silent);
     result.probes_ = progress_.sent_;
