Send cold targets no more than their service bears, all hosts together

Cause: a target that is cold bears a few requests a second from all hosts together, and no host sees what the others send; those that probe it at the same instant all find it free.

Change: a cold target is one with a limit that it did not name itself, so each request to it needs a grant. A target is cold from its start, from its entry or from the newest word of its status check (`header_names.warm_up`), at any moment; after its data centre is taken back until it says otherwise. Where all targets are cold, a free one ends the search. Nothing changes for services that name no rate for cold targets.

--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -182,6 +182,9 @@
     // Call for each answer that comes from the target itself.
     void on_limit_field(service_state& service, routing::target_index target,
                         const answer_head& head, routing::limit_source source);
+    // Call for each answer to a probe.
+    void on_warm_up_field(service_state& service, routing::target_index target,
+                          const answer_head& head);
     [[nodiscard]] limit_grants& grants() { return grants_; }
     [[nodiscard]] relay_hosts& relays() { return relay_hosts_; }
     // Services of which no target answers this host.
@@ -249,6 +252,7 @@
     void publish(const pool_counters& counted);
     void publish_limits();
     void publish_emptied();
+    void set_cold(service_state& service, const routes::routed_service& named);
     [[nodiscard]] std::vector<std::string> emptied_names() const;
     void end_idle_callers();
     void check_stopped();
--- a/src/http/http_task_emptied.cpp
+++ b/src/http/http_task_emptied.cpp
@@ -44,7 +44,7 @@
         metrics_.data_centre_emptied_requests_.Remove(gauges.requests_);
     }
     for (const auto& service : services_) {
-        routing::set_emptied(service->view_, data_centres);
+        routing::set_emptied(service->view_, data_centres, loop_.now());
     }
     publish_emptied();
 }
--- a/src/http/http_task_probes.cpp
+++ b/src/http/http_task_probes.cpp
@@ -130,6 +130,7 @@
     }
     on_target_heard(service);
     on_limit_field(service, target, answer.head_, routing::limit_source::probe);
+    on_warm_up_field(service, target, answer.head_);
     routing::on_probe_answered(service.probe_times_, sent_at, loop_.now());
     const auto load =
         names.load_.empty() ? std::nullopt : read_compact_load(answer.head_, names.load_);
--- a/src/http/http_task_services.cpp
+++ b/src/http/http_task_services.cpp
@@ -48,7 +48,7 @@
         state.placement_budget_.probes_per_target_ = config_.directory_->probes_per_target_;
         limit_extra_attempts(state);
     }
-    routing::set_emptied(state.view_, emptied_names());
+    routing::set_emptied(state.view_, emptied_names(), loop_.now());
     state.probes_share_ = 1.0 * service.probes_per_second_ / config_.host_.hosts_max_;
     state.probe_bytes_share_ = 1.0 * service.probe_bytes_per_second_ / config_.host_.hosts_max_;
     apply_probe_share(state);
@@ -67,6 +67,7 @@
             known = &add_directory_service(each.name_, each.connections_per_target_);
         }
         known->config_.probe_path_ = each.probe_path_;
+        set_cold(*known, each);
     }
     limits_ = state.limits_;
     routes_ = std::make_shared<routes::table>(routes::make_table(std::move(state)));
--- a/src/http/limit_grants.cpp
+++ b/src/http/limit_grants.cpp
@@ -41,6 +41,7 @@
               [](const auto& one, const auto& other) { return to_string(one) < to_string(other); });
     chosen.resize(std::min(chosen.size(), granters_max));
     retire_granters();
+    parts_ = chosen.size();
     granter_.granters_ = 0;
     for (const settings::endpoint& host : chosen) {
         if (host == own) {
@@ -59,6 +60,7 @@
 {
     retire_granters();
     granters_.push_back({});
+    parts_ = hosts_max;
     granter_.granters_ = hosts_max;
     book_.granters_.assign(1, {});
 }
--- a/src/http/limit_grants.hpp
+++ b/src/http/limit_grants.hpp
@@ -44,6 +44,9 @@
     [[nodiscard]] bool may_be_granted(std::string_view target) const;
     duration retry_after(std::span<const routing::grant_wish> wishes);
 
+    // How many hosts grant a part of each limit.
+    [[nodiscard]] std::size_t parts() const { return parts_; }
+
     [[nodiscard]] event_loop& loop() { return loop_; }
 
 private:
@@ -61,6 +64,7 @@
     routing::limit_granter granter_;
     routing::grant_book book_;
     std::vector<remote_granter> granters_;            // in the order of book_
+    std::size_t parts_ = 0;                           // into which a limit is divided
     std::uint64_t epoch_ = 0;                         // grows when granters_ changes
     std::deque<std::vector<remote_granter>> retired_; // until their last requests have ended
 };
--- a/src/http/load_fields.cpp
+++ b/src/http/load_fields.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <vector>
 
@@ -76,6 +77,16 @@
     return {limit_reading::valid, value};
 }
 
+std::optional<duration> read_warm_up(const answer_head& head, std::string_view field_name)
+{
+    constexpr double warm_up_max_ms = 3'600'000;
+    const auto ms = read_number(find_field(head, field_name));
+    if (!ms || *ms > warm_up_max_ms) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds{static_cast<std::int64_t>(*ms)};
+}
+
 std::optional<routing::load_report> parse_load(std::string_view text)
 {
     const auto parsed = nlohmann::json::parse(text, nullptr, false);
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -5,6 +5,7 @@
 #include "http/limit_grants.hpp"
 #include "http/service_state.hpp"
 #include "peer/grant_wire.hpp"
+#include "routing/cold_targets.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -19,10 +20,10 @@
 // Age of a target's limit at which it is probed again although it gets no grant.
 constexpr duration limit_age_max = std::chrono::seconds{1};
 
-routing::grant_wish wish_for(const routing::target_state& target, time_point now)
+routing::grant_wish wish_for(const routing::target_state& target,
+                             const routing::request_limit& limit, time_point now)
 {
-    return {to_string(target.info_.address_), target.limit_->per_second_,
-            now - target.limit_->heard_at_};
+    return {to_string(target.info_.address_), limit.per_second_, now - limit.heard_at_};
 }
 
 } // namespace
@@ -100,7 +101,7 @@
     if (!done_) {
         return;
     }
-    const bool excluded = service_.view_.targets_[answered.target_].limit_ &&
+    const bool excluded = limit_of(answered.target_) &&
                           (asked_probed_ || is_denied(answered.target_));
     if (usable && !excluded) {
         probed_.push_back(answered);
@@ -121,21 +122,31 @@
         return;
     }
     denied_targets_.push_back(target);
-    const routing::target_state& state = service_.view_.targets_[target];
-    if (limited_allowed_ && state.limit_ && denied_.size() < peer::grant_wishes_max) {
-        denied_.push_back(wish_for(state, http_task_.loop().now()));
+    const auto limit = limit_of(target);
+    if (limited_allowed_ && limit && denied_.size() < peer::grant_wishes_max) {
+        denied_.push_back(
+            wish_for(service_.view_.targets_[target], *limit, http_task_.loop().now()));
     }
 }
 
+// The limit that binds the target now; none: it takes what it has room for.
+std::optional<routing::request_limit> target_search::limit_of(routing::target_index target) const
+{
+    return routing::limit_at(service_.view_, service_.view_.targets_[target],
+                             http_task_.loop().now());
+}
+
 // Denies the targets that no granter has a grant for now, and does not probe them. One whose limit
 // was named long ago is probed all the same, as it may have withdrawn the limit.
 void target_search::deny_ungrantable()
 {
     const auto& targets = service_.view_.targets_;
     std::optional<routing::target_index> longest_unheard;
+    time_point heard_at{};
     for (routing::target_index index = 0; index < targets.size(); ++index) {
         const routing::target_state& target = targets[index];
-        if (!target.listed_ || target.emptied_ || !target.limit_) {
+        const auto limit = limit_of(index);
+        if (!target.listed_ || target.emptied_ || !limit) {
             continue;
         }
         if (limited_allowed_ &&
@@ -143,13 +154,12 @@
             continue;
         }
         deny(index);
-        if (!longest_unheard ||
-            target.limit_->heard_at_ < targets[*longest_unheard].limit_->heard_at_) {
+        if (!longest_unheard || limit->heard_at_ < heard_at) {
             longest_unheard = index;
+            heard_at = limit->heard_at_;
         }
     }
-    const bool may_be_withdrawn =
-        longest_unheard && started_ - targets[*longest_unheard].limit_->heard_at_ >= limit_age_max;
+    const bool may_be_withdrawn = longest_unheard && started_ - heard_at >= limit_age_max;
     for (const routing::target_index denied : denied_targets_) {
         if (!may_be_withdrawn || denied != *longest_unheard) {
             exclude_.push_back(denied);
@@ -163,12 +173,12 @@
 {
     const auto& targets = service_.view_.targets_;
     for (routing::target_index index = 0; index < targets.size(); ++index) {
-        if (targets[index].limit_) {
+        if (limit_of(index)) {
             exclude_.push_back(index);
         }
     }
     std::erase_if(probed_, [&](const routing::probed_target& one) {
-        return targets[one.target_].limit_.has_value();
+        return limit_of(one.target_).has_value();
     });
 }
 
@@ -201,7 +211,7 @@
 void target_search::end_or_ask_for_grant(const std::optional<routing::placed_attempt>& placed)
 {
     const time_point now = http_task_.loop().now();
-    if (placed && !service_.view_.targets_[placed->target_].limit_) {
+    if (placed && !limit_of(placed->target_)) {
         finish(placed);
         return;
     }
@@ -229,8 +239,10 @@
     grantable_ = std::move(grantable);
     routing::grant_request request{priority_, {}};
     for (const routing::placed_attempt& each : grantable_) {
-        request.wishes_.push_back(
-            wish_for(service_.view_.targets_[each.target_], http_task_.loop().now()));
+        const auto limit = limit_of(each.target_);
+        request.wishes_.push_back(wish_for(service_.view_.targets_[each.target_],
+                                           limit.value_or(routing::request_limit{}),
+                                           http_task_.loop().now()));
     }
     grant_search_ = std::make_unique<grant_search>(
         http_task_.grants(), std::move(request),
--- a/src/http/target_search.hpp
+++ b/src/http/target_search.hpp
@@ -4,6 +4,7 @@
 // routing/placement.hpp and routing/search_progress.hpp.
 
 #include "http/timer_queue.hpp"
+#include "routing/cold_targets.hpp"
 #include "routing/limit_granter.hpp"
 #include "routing/placement.hpp"
 #include "routing/search_progress.hpp"
@@ -57,6 +58,7 @@
     void wait();
     std::optional<routing::placed_attempt> place() const;
     std::optional<routing::placed_attempt> place_without_answer();
+    std::optional<routing::request_limit> limit_of(routing::target_index target) const;
     bool is_denied(routing::target_index target) const;
     void deny(routing::target_index target);
     void deny_ungrantable();
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -1,5 +1,6 @@
 #include "routing/placement.hpp"
 
+#include "routing/cold_targets.hpp"
 #include "routing/ejection.hpp"
 #include "routing/expected_wait.hpp"
 #include "routing/service_view.hpp"
@@ -51,11 +52,6 @@
     return std::max(reported, static_cast<double>(target.in_flight_));
 }
 
-bool is_cold(const target_state& target, time_point now)
-{
-    return target.warm_at_ > now;
-}
-
 struct cost {
     double wait_ = 0; // before processing begins
     double work_ = 1;
@@ -122,7 +118,8 @@
     from.resize(sampled);
     const auto expected = [&](target_index index) {
         const target_state& target = view.targets_[index];
-        return expected_in_flight(view, target, now) + (target.limit_ ? limited_cost : 0);
+        return expected_in_flight(view, target, now) +
+               (is_limited(view, target, now) ? limited_cost : 0);
     };
     std::stable_sort(from.begin(), from.end(), [&](target_index one, target_index other) {
         return expected(one) < expected(other);
@@ -131,10 +128,10 @@
     return from;
 }
 
-bool has_unlimited_target(const service_view& view)
+bool has_unlimited_target(const service_view& view, time_point now)
 {
-    return std::any_of(view.targets_.begin(), view.targets_.end(), [](const target_state& target) {
-        return is_in_use(target) && !target.limit_;
+    return std::any_of(view.targets_.begin(), view.targets_.end(), [&](const target_state& target) {
+        return is_in_use(target) && !is_limited(view, target, now);
     });
 }
 
@@ -204,13 +201,14 @@
 {
     return std::any_of(probed.begin(), probed.end(), [&](const probed_target& one) {
         const target_state& target = view.targets_[one.target_];
-        if (target.emptied_ || (target.limit_ && has_unlimited_target(view))) {
+        const bool limited = is_limited(view, target, now);
+        if (target.emptied_ || (limited && has_unlimited_target(view, now))) {
             return false;
         }
         const load_report load = one.load_.value_or(load_report{});
         return requests_at(target, one) + 1 < slots_of(view, target, load) + 0.5 &&
                requests_at(target, one) < 1 && load.slowdown_ <= usual_slowdown &&
-               !is_cold(target, now) && is_available(target, now) &&
+               (limited || !is_cold(target, now)) && is_available(target, now) &&
                failure_ratio_above_mean(view, target, now) < 0.1;
     });
 }
@@ -254,7 +252,7 @@
             continue;
         }
         const cost own = cost_of(view, one, now);
-        if (view.targets_[one.target_].limit_) {
+        if (is_limited(view, view.targets_[one.target_], now)) {
             ranked.emplace_back(own.total(), attempt_at(view, one.target_, own));
         }
         else {
@@ -279,7 +277,7 @@
     std::vector<target_index> from = eligible_targets(view, exclude);
     std::erase_if(from, [&](target_index index) {
         const target_state& target = view.targets_[index];
-        return !target.limit_ || !is_available(target, now) ||
+        return !is_limited(view, target, now) || !is_available(target, now) ||
                expected_in_flight(view, target, now) >= slots_of(view, target, {});
     });
     std::vector<placed_attempt> placed;
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -1,5 +1,6 @@
 #include "routing/service_view.hpp"
 
+#include "routing/cold_targets.hpp"
 #include "routing/ejection.hpp"
 #include "routing/selection.hpp"
 #include "routing/subset.hpp"
@@ -83,11 +84,24 @@
     }
 }
 
-void mark_emptied(service_view& view)
+// Where the service names a rate for cold targets, one is cold from its start.
+void begin_warm_up(const service_view& view, target_state& target, time_point now)
+{
+    const bool limited = view.cold_per_second_ > 0 && view.has_target_list_;
+    target.warm_at_ =
+        now + std::max(target.info_.warm_up_, limited ? view.warm_up_ : duration::zero());
+    target.warm_up_heard_at_ = now;
+}
+
+// A target whose data centre is taken back counts as cold until it says otherwise.
+void mark_emptied(service_view& view, time_point now)
 {
     for (target_state& target : view.targets_) {
-        target.emptied_ = std::binary_search(view.emptied_.begin(), view.emptied_.end(),
-                                             target.info_.data_centre_);
+        const bool emptied = std::binary_search(view.emptied_.begin(), view.emptied_.end(),
+                                                target.info_.data_centre_);
+        if (std::exchange(target.emptied_, emptied) && !emptied) {
+            begin_warm_up(view, target, now);
+        }
     }
 }
 
@@ -102,21 +116,23 @@
         if (view.has_target_list_) {
             fresh.cold_since_ = now;
         }
-        fresh.warm_at_ = now + info.warm_up_;
+        begin_warm_up(view, fresh, now);
         view.targets_.push_back(std::move(fresh));
     }
     return place->second;
 }
 
 // Resets the state for a new server at a known address, except the attempts still in flight.
-void restart(target_state& target, const target_info& info, time_point now)
+void restart(const service_view& view, target_state& target, const target_info& info,
+             time_point now)
 {
     target_state fresh;
     fresh.info_ = info;
     fresh.in_flight_ = target.in_flight_;
     fresh.started_ = std::move(target.started_);
     fresh.cold_since_ = now;
-    fresh.warm_at_ = now + info.warm_up_;
+    fresh.emptied_ = target.emptied_;
+    begin_warm_up(view, fresh, now);
     target = std::move(fresh);
 }
 
@@ -215,22 +231,26 @@
     for (const auto& info : targets) {
         target_state& target = view.targets_[index_of(view, info, now)];
         if (info.incarnation_ > target.info_.incarnation_) {
-            restart(target, info, now);
+            restart(view, target, info, now);
         }
         else if (info.incarnation_ == target.info_.incarnation_) {
+            const bool turned_cold = info.warm_up_ > target.info_.warm_up_;
             target.info_ = info;
+            if (turned_cold) {
+                on_warm_up_heard(target, info.warm_up_, now);
+            }
         }
         target.listed_ = true;
     }
     view.has_target_list_ = true;
-    mark_emptied(view);
+    mark_emptied(view, now);
     update_subset(view);
 }
 
-void set_emptied(service_view& view, std::span<const std::string> data_centres)
+void set_emptied(service_view& view, std::span<const std::string> data_centres, time_point now)
 {
     view.emptied_.assign(data_centres.begin(), data_centres.end());
-    mark_emptied(view);
+    mark_emptied(view, now);
     update_subset(view);
 }
 
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -30,6 +30,8 @@
     policy policy_ = policy::least_wait;
     std::uint32_t slots_per_target_ = 2;
     duration cold_start_{};
+    duration warm_up_{};         // how long a target is cold after its start
+    double cold_per_second_ = 0; // granted to a cold target, to all hosts together; 0: any number
     bool hedge_ = true;
     bool has_target_list_ = false;
     std::vector<target_state> targets_;
@@ -58,8 +60,8 @@
 void update_targets(service_view&, std::span<const target_info>, time_point now);
 
 // Sets the data centres to be emptied, sorted: their targets get no new attempt and no probe, but
-// keep their state.
-void set_emptied(service_view&, std::span<const std::string> data_centres);
+// keep their state. Those that are taken back may have become cold meanwhile.
+void set_emptied(service_view&, std::span<const std::string> data_centres, time_point now);
 
 // Sets the ids of all known entry hosts. Large services are then divided among them; see
 // subset.hpp. Until it is called a host uses all targets.
--- a/src/routing/target_state.hpp
+++ b/src/routing/target_state.hpp
@@ -32,6 +32,7 @@
     std::optional<time_point> drain_reported_at_; // last report that the target drains
     std::optional<time_point> cold_since_;        // start of its cold start; none: warm
     time_point warm_at_{};                        // end of its reported warm-up
+    time_point warm_up_heard_at_{};               // when that was last reported
     double failure_ratio_ = 0;                    // moving average over attempts
     std::uint32_t outcomes_ = 0;                  // attempts counted since the last ejection
     time_point outcome_at_{};                     // time of the last outcome
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -263,6 +263,7 @@
     name("instance", out.instance_);
     name("load", out.load_);
     name("limit", out.limit_);
+    name("warm_up", out.warm_up_);
     name("key", out.key_);
     name("key_scheme", out.key_scheme_);
     name("organisation", out.organisation_);
--- a/tests/emptied_test.cpp
+++ b/tests/emptied_test.cpp
@@ -174,16 +174,16 @@
     const std::vector<routing::probed_target> probed{{0, routing::load_report{}},
                                                      {3, routing::load_report{}}};
     CHECK(routing::place(view, probed, {}, now, random).has_value());
-    routing::set_emptied(view, names{"a"});
+    routing::set_emptied(view, names{"a"}, now);
     CHECK(!routing::place(view, probed, {}, now, random));
     CHECK(!routing::has_free_target(view, probed, now));
     for (const auto index : routing::probe_candidates(view, {}, 6, true, now, random)) {
         CHECK(view.targets_[index].info_.data_centre_ != "a");
     }
-    routing::set_emptied(view, names{"a", "b", "c"});
+    routing::set_emptied(view, names{"a", "b", "c"}, now);
     CHECK(!routing::has_eligible_target(view));
     CHECK(!routing::place_unprobed(view, {}, now, random));
-    routing::set_emptied(view, {});
+    routing::set_emptied(view, {}, now);
     LONGS_EQUAL(1, view.targets_[0].in_flight_);
     DOUBLES_EQUAL(0.5, view.targets_[0].failure_ratio_, 1e-9);
     LONGS_EQUAL(6, routing::eligible_targets(view, {}).size());
@@ -197,7 +197,7 @@
         std::map<routing::target_index, int> users;
         for (int host = 0; host < hosts; ++host) {
             routing::service_view view = view_of(host, 333, now);
-            routing::set_emptied(view, names{"a"});
+            routing::set_emptied(view, names{"a"}, now);
             LONGS_EQUAL(48, view.subset_.size());
             for (const auto index : routing::eligible_targets(view, {})) {
                 CHECK(view.targets_[index].info_.data_centre_ != "a");
