Send refused callers of an organisation back the later the more of them there are

Change: Retry-After grows with the refused requests for each one that passes, 1 s to 10 s, spread. A host reports on each interval, also without anything to report, so that a late tick does not lose it.

--- a/src/http/allotment_reports.cpp
+++ b/src/http/allotment_reports.cpp
@@ -20,13 +20,11 @@
 
 using namespace std::chrono_literals;
 
-// Between two reports while there is something to report. An organisation that sends many times
+// Between two reports, also without anything to report: the granter has to know of this host. An
+// organisation that sends many times
 // its usual is noticed after one interval and held back after another one.
 constexpr duration report_interval = 500ms;
 
-// Without anything to report, less than organisations::contact_time.
-constexpr duration quiet_interval = 900ms;
-
 // Requests wait for the answer.
 constexpr duration answer_timeout = 100ms;
 constexpr std::size_t answer_bytes_max = 32768;
@@ -119,14 +117,19 @@
                                        decided_function decided)
 {
     const organisations::name_hash name = organisations::hash_of_name(caller.name_);
+    if (caller.allotment_.per_second_ <= 0) {
+        decided({});
+        return 0;
+    }
     const auto decision = organisations::decide(use_, name, caller.allotment_,
                                                 next_granter() != nullptr, loop_.now(), random_);
+    const std::uint64_t id = ++last_id_;
+    waiting_request request{id, name, caller.allotment_, std::move(decided)};
     if (decision.verdict_ != organisations::use_verdict::ask) {
-        decided(decision);
+        decide(request, decision);
         return 0;
     }
-    const std::uint64_t id = ++last_id_;
-    waiting_.push_back({id, name, caller.allotment_, std::move(decided)});
+    waiting_.push_back(std::move(request));
     if (exchange_ == nullptr) {
         send();
     }
@@ -137,6 +140,14 @@
                : 0;
 }
 
+void allotment_reports::decide(const waiting_request& request,
+                               organisations::use_decision decided)
+{
+    decided.return_time_ = organisations::return_time(use_, request.organisation_,
+                                                      decided.verdict_, loop_.now());
+    request.decided_(decided);
+}
+
 void allotment_reports::cancel(std::uint64_t id)
 {
     const auto is_it = [id](const waiting_request& each) { return each.id_ == id; };
@@ -183,9 +194,7 @@
 void allotment_reports::on_report_due()
 {
     timer_ = 0;
-    const bool is_due =
-        organisations::has_unreported(use_) || loop_.now() - sent_at_ >= quiet_interval;
-    if (exchange_ == nullptr && is_due) {
+    if (exchange_ == nullptr) {
         send();
     }
     arm();
@@ -199,7 +208,6 @@
         resolve_alone(std::exchange(waiting_, {}));
         return;
     }
-    sent_at_ = loop_.now();
     auto report =
         organisations::take_report(use_, own_name_, asked != last_answered_, loop_.now());
     std::map<organisations::name_hash, std::uint32_t> wanted;
@@ -297,9 +305,9 @@
             organisations::give_back(use_, each.organisation_);
         }
         if (each.decided_) {
-            each.decided_({is_granted ? organisations::use_verdict::passed
-                                      : organisations::use_verdict::refused,
-                           found->second.wait_});
+            decide(each, {is_granted ? organisations::use_verdict::passed
+                                     : organisations::use_verdict::refused,
+                          found->second.wait_});
         }
     }
     resolve_alone(std::move(unanswered));
@@ -309,8 +317,8 @@
 {
     for (const waiting_request& each : requests) {
         if (each.decided_) {
-            each.decided_(organisations::decide_alone(use_, each.organisation_, each.limit_,
-                                                      loop_.now(), random_));
+            decide(each, organisations::decide_alone(use_, each.organisation_, each.limit_,
+                                                     loop_.now(), random_));
         }
     }
 }
--- a/src/http/allotment_reports.hpp
+++ b/src/http/allotment_reports.hpp
@@ -76,6 +76,7 @@
         decided_function decided_;
     };
 
+    void decide(const waiting_request& request, organisations::use_decision decided);
     void clear_granters();
     [[nodiscard]] granter* next_granter();
     void arm();
@@ -98,7 +99,6 @@
     std::list<waiting_request> waiting_;
     std::list<waiting_request> asked_; // in the report that is under way
     std::uint64_t last_id_ = 0;
-    time_point sent_at_{};
     timer_id timer_ = 0;
     bool has_allotments_ = false;
 };
--- a/src/http/proxied_call_allotment.cpp
+++ b/src/http/proxied_call_allotment.cpp
@@ -7,20 +7,12 @@
 #include "http/proxied_call.hpp"
 #include "telemetry/log.hpp"
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 #include <utility>
 
 namespace savoryscale::http {
 
-namespace {
-
-// A random part of Retry-After, so that callers who were refused together return apart.
-constexpr std::chrono::milliseconds allotment_retry_spread{1000};
-
-} // namespace
-
 void proxied_call::check_allotment()
 {
     if (organisation_ == nullptr || is_relayed()) {
@@ -43,9 +35,10 @@
         dispatch_when_ready();
         return;
     }
-    const duration spread{static_cast<std::int64_t>(
-        uniform_unit(http_task_.random()) *
-        static_cast<double>(duration{allotment_retry_spread}.count()))};
+    // Callers who were refused together return apart.
+    const duration spread{
+        static_cast<std::int64_t>(uniform_unit(http_task_.random()) *
+                                  static_cast<double>(decided.return_time_.count()))};
     telemetry::decided("allotment_refused", request_id_,
                        {{"organisation", organisation_->name_},
                         {"by", std::string{to_string(decided.by_)}},
--- a/src/organisations/allotment_use.cpp
+++ b/src/organisations/allotment_use.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace savoryscale::organisations {
@@ -20,6 +21,12 @@
 // A host asks again after a denial no sooner than this: callers that ignore denials cost less.
 constexpr duration denial_min = 50ms;
 
+// Decisions are remembered for this time, and callers come back within the time that the number of
+// refused ones takes at the present rate, but not sooner nor later than this.
+constexpr duration memory_time = 2s;
+constexpr duration return_min = 1s;
+constexpr duration return_max = 10s;
+
 // Longer than the time between two reports and the answer to one.
 constexpr duration late_time = 700ms;
 
@@ -139,6 +146,21 @@
     return {use_verdict::refused, contact_time, use_decider::alone};
 }
 
+duration return_time(allotment_use& use, name_hash organisation, use_verdict verdict,
+                     time_point now)
+{
+    own_use& own = use_of(use, organisation);
+    const double kept = std::exp(-seconds_of(now - own.counted_at_) / seconds_of(memory_time));
+    own.counted_at_ = now;
+    own.passed_ = own.passed_ * kept + (verdict == use_verdict::passed ? 1 : 0);
+    own.refused_ = own.refused_ * kept + (verdict == use_verdict::refused ? 1 : 0);
+    const double seconds =
+        seconds_of(memory_time) * own.refused_ / std::max(1.0, own.passed_);
+    return std::clamp<duration>(
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds}), return_min,
+        return_max);
+}
+
 void give_back(allotment_use& use, name_hash organisation)
 {
     --use_of(use, organisation).unreported_;
@@ -185,10 +207,4 @@
     }
 }
 
-bool has_unreported(const allotment_use& use)
-{
-    return std::any_of(use.organisations_.begin(), use.organisations_.end(),
-                       [](const auto& each) { return each.second.unreported_ != 0; });
-}
-
 } // namespace savoryscale::organisations
--- a/src/organisations/allotment_use.hpp
+++ b/src/organisations/allotment_use.hpp
@@ -20,6 +20,10 @@
     std::int32_t sending_ = 0; // in the report that has not been answered yet
     bool is_near_limit_ = false;
     time_point denied_until_{};
+    // Decisions lately, each counted for about `memory_time`.
+    double passed_ = 0;
+    double refused_ = 0;
+    time_point counted_at_{};
     // Used while this host has no granter.
     double own_tokens_ = 0;
     time_point own_filled_at_{};
@@ -51,6 +55,7 @@
     use_verdict verdict_ = use_verdict::passed;
     duration wait_{}; // if refused: until a request may pass
     use_decider by_ = use_decider::granter; // if refused
+    duration return_time_{};                // if refused: callers return within this time after it
 };
 
 // Name in logs.
@@ -68,6 +73,11 @@
 use_decision decide_alone(allotment_use&, name_hash, const allotment&, time_point now,
                           random_source&);
 
+// Counts a decision, also one of a granter, and returns until when refused callers are to return:
+// the more of them there are for each request that passes, the later, so that a returning request
+// does not take the place of a fresh one that can still be answered in time.
+duration return_time(allotment_use&, name_hash, use_verdict, time_point now);
+
 // A request that passed did not run.
 void give_back(allotment_use&, name_hash);
 
@@ -77,7 +87,4 @@
 void on_answer(allotment_use&, const use_answer&, time_point now);
 void on_no_answer(allotment_use&);
 
-// Whether there is something to report.
-bool has_unreported(const allotment_use&);
-
 } // namespace savoryscale::organisations
--- a/tests/allotments_test.cpp
+++ b/tests/allotments_test.cpp
@@ -301,6 +301,24 @@
     }
 }
 
+// Load: four times as many requests as pass, and as many as pass.
+TEST(allotments, callers_return_the_later_the_more_of_them_are_refused)
+{
+    allotment_use use;
+    time_point now{1000s};
+    duration told{};
+    for (int i = 0; i < 400; ++i) {
+        now += 10ms;
+        told = return_time(use, 1, i % 4 == 0 ? use_verdict::passed : use_verdict::refused, now);
+    }
+    CHECK(told >= 5s && told <= 7s);
+    for (int i = 0; i < 400; ++i) {
+        now += 10ms;
+        told = return_time(use, 1, use_verdict::passed, now);
+    }
+    CHECK(told == 1s);
+}
+
 TEST(allotments, messages_are_read_as_they_were_written_and_odd_ones_are_refused)
 {
     const use_report report{hash_of_name("host-1"), 122, {{1, -3, 0}, {~0ULL, 17, 2}}};
