Refuse keyed requests while the list of keys is too old to rely on

Cause: directory.keys_age_max_s was read and had no effect. Change: a request with a known key is refused as not run, cause keys_outdated, when the store last confirmed the list longer ago than the setting; a public route serves it without naming its organisation.

--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -99,6 +99,7 @@
         *loop_, *config_.directory_, dialect_, config_.host_, seed_ + 1, directory_events());
     http_task_->relays().set_known_hosts(
         [this] { return directory_->known_hosts(config_.host_.data_centre_); });
+    http_task_->set_confirmed_at([this] { return directory_->confirmed_at(); });
     pages_ = std::make_unique<http::page_server>(
         *loop_, page_connections_max,
         [this](std::string_view path, const http::page_reply& reply) { reply(answer_page(path)); });
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -70,6 +70,9 @@
     // The hosts that read from this one, and this one itself, those in the data centre first.
     std::vector<announced_host> known_hosts(std::string_view data_centre);
 
+    // When the store last confirmed what this host knows; none before the first time.
+    [[nodiscard]] std::optional<time_point> confirmed_at() const { return as_of(source_); }
+
     // Whether a desired state and the list of targets are known.
     [[nodiscard]] bool is_complete() const { return version_ > 0 && targets_listed_; }
 
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -35,6 +35,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace savoryscale::telemetry {
@@ -109,6 +110,15 @@
     // it does not name are kept for the requests in progress.
     void set_desired_state(routes::desired_state state);
 
+    // Tells when the store last confirmed the desired state.
+    void set_confirmed_at(std::function<std::optional<time_point>()> confirmed_at)
+    {
+        confirmed_at_ = std::move(confirmed_at);
+    }
+
+    // Whether the list of keys is too old to rely on; see settings::directory::keys_age_max_.
+    [[nodiscard]] bool has_outdated_keys() const;
+
     // Updates from the control plane or the directory: the two lists, targets, shares, suspicions.
     void set_lists(const plans::lists& lists);
     void set_targets(std::string_view service, std::vector<routing::target_info> targets);
@@ -252,6 +262,7 @@
     const telemetry::metrics& metrics_;
     std::vector<std::unique_ptr<service_state>> services_;
     std::shared_ptr<const routes::table> routes_;
+    std::function<std::optional<time_point>()> confirmed_at_;
     routes::request_limits limits_;
     std::unordered_map<std::string, routes::split_state> splits_; // by route
     admission::state admission_;
--- a/src/http/http_task_services.cpp
+++ b/src/http/http_task_services.cpp
@@ -73,6 +73,16 @@
                                               : std::vector<organisations::organisation>{});
 }
 
+bool http_task::has_outdated_keys() const
+{
+    if (!config_.directory_ || config_.directory_->keys_age_max_ <= settings::seconds::zero() ||
+        !confirmed_at_) {
+        return false;
+    }
+    const auto confirmed = confirmed_at_();
+    return !confirmed || loop_.now() - *confirmed > config_.directory_->keys_age_max_;
+}
+
 // A service that is not in the directory yet is added without targets, so its requests are refused.
 service_state& http_task::service_of(const routes::route& chosen)
 {
--- a/src/http/proxied_call_checks.cpp
+++ b/src/http/proxied_call_checks.cpp
@@ -65,6 +65,13 @@
         : read.reading_ == key_reading::malformed ? admission::refusal_cause::key_malformed
                                                   : admission::refusal_cause::key_unknown;
     erase_fields(names.key_);
+    // A key that was withdrawn meanwhile might be taken for valid.
+    if (organisation_ != nullptr && http_task_.has_outdated_keys()) {
+        organisation_ = nullptr;
+        return route_->needs_key_ ? admission::send_verdict{admission::refusal_cause::keys_outdated,
+                                                            keys_retry_after}
+                                  : admission::send_verdict{};
+    }
     if (organisation_ != nullptr || !route_->needs_key_) {
         return {};
     }
@@ -75,6 +82,9 @@
 admission::send_verdict proxied_call::check_caller_again() const
 {
     const auto& current = http_task_.routes();
+    if (organisation_ != nullptr && key_ && http_task_.has_outdated_keys()) {
+        return {admission::refusal_cause::keys_outdated, keys_retry_after};
+    }
     if (organisation_ == nullptr || current == routes_ || !current->keys_) {
         return {};
     }
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 
 using namespace savoryscale;
 using namespace savoryscale::testing;
@@ -36,7 +37,7 @@
         return made;
     }
 
-    void start()
+    void start(settings::seconds keys_age_max = settings::seconds{0})
     {
         target = std::make_unique<fake_upstream>([this](script_connection& connection, int) {
             while (true) {
@@ -59,6 +60,7 @@
         store.put("servers", "i-1", server_json(target->port()));
         auto config = directory_settings(store.port());
         config.header_names_.organisation_ = "X-Organisation";
+        config.directory_->keys_age_max_ = keys_age_max;
         host = std::make_unique<running_routed_host>(config);
         CHECK(host->reaches(1, 1));
     }
@@ -133,6 +135,27 @@
     CHECK(caller.read_answer().starts_with("HTTP/1.1 401"));
 }
 
+TEST(keys, a_host_whose_list_is_too_old_refuses_keyed_requests_as_not_run)
+{
+    store.put("config", "main", state(1));
+    start(settings::seconds{0.6});
+    CHECK(call("/look/1", key_header).starts_with("HTTP/1.1 200"));
+    store.set_unavailable(true);
+    std::this_thread::sleep_for(1s);
+    const std::string refused = call("/look/1", key_header);
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(field_of(refused, "Savoryscale-Outcome") == "not-run");
+    CHECK(call("/open/1", key_header).starts_with("HTTP/1.1 200"));
+    CHECK(last_request().find("X-Organisation") == std::string::npos);
+    store.set_unavailable(false);
+    std::string answer;
+    for (int i = 0; i < 300 && !answer.starts_with("HTTP/1.1 200"); ++i) {
+        std::this_thread::sleep_for(10ms);
+        answer = call("/look/1", key_header);
+    }
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+}
+
 TEST(keys, a_desired_state_without_organisations_leaves_the_header_alone)
 {
     auto plain = state(1);
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -332,6 +332,7 @@
             *loop_, *config_.directory_, platform::dialect(), config_.host_, 2, std::move(events));
         http_task_->relays().set_known_hosts(
             [this] { return directory_->known_hosts(config_.host_.data_centre_); });
+        http_task_->set_confirmed_at([this] { return directory_->confirmed_at(); });
         port_ = http_task_->open().value();
         feed_port_ = directory_->start().value();
         thread_ = std::thread{[this] { loop_->run([this] { http_task_->run_posted(); }); }};
