--- a/fuzz/feed_fuzz.cpp
+++ b/fuzz/feed_fuzz.cpp
@@ -3,6 +3,7 @@
 // reading it again.
 
 #include "directory/feed_server.hpp"
+#include "peer/allotment_wire.hpp"
 #include "peer/feed_wire.hpp"
 #include "peer/grant_wire.hpp"
 #include "peer/suspicion_wire.hpp"
@@ -40,6 +41,12 @@
         const auto again = peer::read_suspicions_path(peer::write_suspicions_path(*suspicions));
         require(again && again->size() <= suspicions->size());
     }
+    if (const auto report = peer::read_allotment_path(bytes)) {
+        require(peer::read_allotment_path(peer::write_allotment_path(*report)) == *report);
+    }
+    if (const auto answer = peer::read_allotment_answer(bytes)) {
+        require(peer::read_allotment_answer(peer::write_allotment_answer(*answer)) == *answer);
+    }
     if (const auto answer = peer::read_grant_answer(bytes)) {
         require(peer::read_grant_answer(peer::write_grant_answer(*answer)) == *answer);
     }
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -1,14 +1,18 @@
 // Callers with and without keys at a host whose desired state lists organisations, over sockets.
 
 #include "support/running_routed_host.hpp"
+#include "telemetry/log.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <sys/mman.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 
 using namespace savoryscale;
 using namespace savoryscale::testing;
@@ -23,9 +27,12 @@
 TEST_GROUP(keys)
 {
     std::mutex mutex;
-    std::string received; // the request last received by the target
+    std::string received; // the request last received by a target
+    int requests = 0;     // that targets have received
+    bool withdraws = false; // the key is withdrawn when a target has received the next request
     scripted_store store;
     std::unique_ptr<fake_upstream> target;
+    std::unique_ptr<fake_upstream> other_target;
     std::unique_ptr<running_routed_host> host;
 
     nlohmann::json state(std::uint64_t version, const char* key = "key-a") const
@@ -39,30 +46,47 @@
 
     void start(settings::seconds keys_age_max = settings::seconds{0})
     {
-        target = std::make_unique<fake_upstream>([this](script_connection& connection, int) {
-            while (true) {
-                const std::string request = connection.read_request();
-                if (request.empty()) {
-                    return;
-                }
-                if (request.starts_with("GET /health ")) {
-                    connection.send(ok_answer("", "X-Load: 0,0,2,100\r\n"));
-                    continue;
-                }
-                {
-                    const std::lock_guard lock{mutex};
-                    received = request;
-                }
-                connection.send(ok_answer(
-                    "done", fmt::format("X-Id: {}\r\nX-Seal: s\r\n", field_of(request, "X-Id"))));
-            }
-        });
+        const auto serves = [this](script_connection& connection, int) { serve(connection); };
+        target = std::make_unique<fake_upstream>(serves);
+        other_target = std::make_unique<fake_upstream>(serves);
         store.put("servers", "i-1", server_json(target->port()));
+        store.put("servers", "i-2", server_json(other_target->port()));
         auto config = directory_settings(store.port());
         config.header_names_.organisation_ = "X-Organisation";
         config.directory_->keys_age_max_ = keys_age_max;
         host = std::make_unique<running_routed_host>(config);
-        CHECK(host->reaches(1, 1));
+        CHECK(host->reaches(1, 2));
+    }
+
+    void serve(script_connection& connection)
+    {
+        while (true) {
+            const std::string request = connection.read_request();
+            if (request.empty()) {
+                return;
+            }
+            if (request.starts_with("GET /health ")) {
+                connection.send(ok_answer("", "X-Load: 0,0,2,100\r\n"));
+                continue;
+            }
+            bool withdraws_now = false;
+            {
+                const std::lock_guard lock{mutex};
+                received = request;
+                ++requests;
+                withdraws_now = std::exchange(withdraws, false);
+            }
+            const std::string id = field_of(request, "X-Id");
+            if (withdraws_now) {
+                store.put("config", "main", state(2, "key-b"));
+                host->reaches(2, 2);
+                connection.send(fmt::format(
+                    "HTTP/1.1 421 Wrong\r\nX-Id: {}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                    id));
+                continue;
+            }
+            connection.send(ok_answer("done", fmt::format("X-Id: {}\r\nX-Seal: s\r\n", id)));
+        }
     }
 
     std::string call(const std::string& path, const std::string& fields)
@@ -130,11 +154,60 @@
     caller.send(request);
     CHECK(caller.read_answer().starts_with("HTTP/1.1 200"));
     store.put("config", "main", state(2, "key-b"));
-    CHECK(host->reaches(2, 1));
+    CHECK(host->reaches(2, 2));
     caller.send(request);
     CHECK(caller.read_answer().starts_with("HTTP/1.1 401"));
 }
 
+TEST(keys, a_key_that_is_withdrawn_between_two_attempts_sends_no_second_one)
+{
+    store.put("config", "main", state(1));
+    start();
+    for (int i = 0; i < 20; ++i) { // another attempt needs some requests before it
+        CHECK(call("/look/1", key_header).starts_with("HTTP/1.1 200"));
+    }
+    withdraws = true;
+    const std::string answer = call("/look/1", key_header);
+    CHECK_TEXT(answer.starts_with("HTTP/1.1 401"), answer.c_str());
+    CHECK(field_of(answer, "Savoryscale-Outcome") == "not-run");
+    const std::lock_guard lock{mutex};
+    CHECK_EQUAL(21, requests);
+}
+
+TEST(keys, what_hosts_tell_each_other_is_not_believed_from_a_caller)
+{
+    store.put("config", "main", state(1));
+    start();
+    for (const char* field : {"Savoryscale-Caller: 10.1.2.3; organisation=kaje\r\n",
+                              "X-Organisation: kaje\r\nX-Organisation: kaje\r\n"}) {
+        CHECK(call("/look/1", field).starts_with("HTTP/1.1 401"));
+        CHECK(call("/open/1", field).starts_with("HTTP/1.1 200"));
+        CHECK(last_request().find("kaje") == std::string::npos);
+    }
+}
+
+TEST(keys, a_key_is_in_no_line_of_the_log)
+{
+    store.put("config", "main", state(1));
+    start();
+    const int log = memfd_create("log", 0);
+    host->run([log](http::http_task&) {
+        telemetry::start_single_threaded_logging({true, "debug", 100000}, log);
+    });
+    CHECK(call("/look/1", key_header).starts_with("HTTP/1.1 200"));
+    CHECK(call("/look/1", "Authorization: Token key-b\r\n").starts_with("HTTP/1.1 401"));
+    store.put("config", "main", state(2, "key-b"));
+    CHECK(host->reaches(2, 2));
+    host->run([](http::http_task&) {
+        telemetry::flush_log();
+        telemetry::stop_logging();
+    });
+    std::string lines(1 << 20U, '\0');
+    lines.resize(static_cast<std::size_t>(pread(log, lines.data(), lines.size(), 0)));
+    CHECK(lines.find("send_refused") != std::string::npos);
+    CHECK(lines.find("key-") == std::string::npos);
+}
+
 TEST(keys, a_host_whose_list_is_too_old_refuses_keyed_requests_as_not_run)
 {
     store.put("config", "main", state(1));
