Free the head of a refused request at once, count what answers hold, measure only where bodies come

Cause: a refused call is destroyed after all events that are due; by then hundreds of heads may have been refused.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -239,6 +239,7 @@
 {
     if (stream_ != nullptr) {
         stream_->write(answer_chunked_ ? chunk_text(bytes) : std::string{bytes});
+        account();
     }
 }
 
@@ -267,6 +268,7 @@
 void caller_connection::end_call()
 {
     http_task_.loop().destroy_later(std::move(call_));
+    account();
     answer_chunked_ = false;
     if (stream_ == nullptr) {
         return;
@@ -378,6 +380,7 @@
 void caller_connection::on_drained()
 {
     progress_at_ = http_task_.loop().now();
+    account();
     if (call_ != nullptr) {
         call_->on_caller_drained();
     }
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -371,7 +371,7 @@
 {
     const time_point now = loop_.now();
     metrics_.caller_connections_.Set(static_cast<double>(callers_.size()));
-    metrics_.caller_memory_.Set(static_cast<double>(body_memory_.held_));
+    metrics_.caller_memory_.Set(static_cast<double>(measured_body_memory().held_));
     metrics_.requests_in_progress_.Set(
         static_cast<double>(std::count_if(callers_.begin(), callers_.end(), [](const auto& entry) {
             return entry.first->is_busy();
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -160,7 +160,8 @@
     void release(std::string_view customer, const service_state& service);
     connection_pool& pool_of(service_state& service, routing::target_index target);
     const std::string& target_name(service_state& service, routing::target_index target);
-    // Memory for bodies in progress, measured recently.
+    // Memory that callers make the host hold, as known; measured recently.
+    [[nodiscard]] const admission::body_memory& body_memory() const { return body_memory_; }
     const admission::body_memory& measured_body_memory();
     // Changes the account by what one connection holds, and whether it must end by itself.
     void change_held(std::size_t before, std::size_t after);
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -194,6 +194,11 @@
     if (!used) {
         return tl::unexpected(used.error());
     }
+    const std::size_t left = (in_place ? bytes.size() : pending_.size()) - *used;
+    if (!complete() && left > max_header_bytes_) {
+        pending_ = {};
+        return tl::unexpected(malformed("chunk header or trailer too long"));
+    }
     if (in_place) {
         pending_.append(bytes.substr(*used));
     }
@@ -201,9 +206,6 @@
         pending_.erase(0, *used);
     }
     release_spare_memory();
-    if (!complete() && pending_.size() > max_header_bytes_) {
-        return tl::unexpected(malformed("chunk header or trailer too long"));
-    }
     return {};
 }
 
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -125,14 +125,13 @@
         return;
     }
     const bool has_body = head_.chunked_ || head_.content_length_.value_or(0) > 0;
-    const admission::body_memory& memory = http_task_.measured_body_memory();
-    if (has_body && !admission::accepts_body(memory)) {
+    if (has_body && !admission::accepts_body(http_task_.measured_body_memory())) {
         refuse({status_unavailable, "not-run",
                 "too many bodies are in progress on this host; use another",
                 duration{crowded_retry_after}, false});
         return;
     }
-    if (!admission::accepts_head(memory, head_bytes_)) {
+    if (!admission::accepts_head(http_task_.body_memory(), head_bytes_)) {
         refuse_for_room();
         return;
     }
@@ -532,6 +531,11 @@
     count_end(refusal.outcome_ == "not-run" ? telemetry::request_end::not_run
                                             : telemetry::request_end::unknown);
     caller_.answer_locally(std::move(refusal));
+    if (!dispatched_) {
+        // The call is destroyed only after all events that are due; by then many may be refused.
+        head_.fields_ = {};
+        head_bytes_ = 0;
+    }
 }
 
 void proxied_call::count_end(telemetry::request_end end)
