--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -196,7 +196,7 @@
     }
     const std::size_t left = (in_place ? bytes.size() : pending_.size()) - *used;
     if (!complete() && left > max_header_bytes_) {
-        pending_ = {};
+        pending_ = std::string{};
         return tl::unexpected(malformed("chunk header or trailer too long"));
     }
     if (in_place) {
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -533,7 +533,7 @@
     caller_.answer_locally(std::move(refusal));
     if (!dispatched_) {
         // The call is destroyed only after all events that are due; by then many may be refused.
-        head_.fields_ = {};
+        head_.fields_ = std::vector<header_field>{}; // gives its room back, which = {} does not
         head_bytes_ = 0;
     }
 }
