Keep suspicions of crashing requests in the store

Cause: hosts told each other of such requests only through the hosts of the feed, and kept them in memory only. Once the hosts of the feed had left, each host let a request crash three targets of its own; once all hosts had been killed, it began anew.

Change: the hosts of the feed write a suspicion to the store from its second crash on, as an object of a kind of the system's own, one a request, with its time of expiry. A host that reads the store itself for 3 s although it has hosts of the feed to read from is a lone host: it writes each crash that it saw and follows the kind. Everyone who reads the store after a start reads the kind once. Nothing is written while no request crashes targets; the decision is admission/kept_suspicions, the calls are directory/suspicion_keeper.

--- /dev/null
+++ b/src/admission/kept_suspicions.cpp
@@ -0,0 +1,112 @@
+#include "admission/kept_suspicions.hpp"
+
+#include "base/backoff.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryscale::admission {
+
+namespace {
+
+constexpr duration retry_min = std::chrono::milliseconds{200};
+constexpr duration retry_max = std::chrono::seconds{4};
+
+bool is_due(const kept_suspicion& known, keeper_role role, time_point now)
+{
+    if (known.fact_.version_ <= known.stored_version_ || known.expires_at_ <= now) {
+        return false;
+    }
+    return role == keeper_role::feed   ? concerns_all_hosts(known.fact_)
+           : role == keeper_role::lone ? known.raised_here_
+                                       : false;
+}
+
+void make_room(kept_suspicions& kept)
+{
+    if (kept.entries_.size() < kept_suspicions_max) {
+        return;
+    }
+    kept.entries_.erase(std::min_element(
+        kept.entries_.begin(), kept.entries_.end(), [](const auto& one, const auto& other) {
+            return one.second.expires_at_ < other.second.expires_at_;
+        }));
+}
+
+} // namespace
+
+void on_suspicion_changed(kept_suspicions& kept, const peer::fact& changed, bool raised_here,
+                          time_point now)
+{
+    const auto request = fingerprint_of(changed);
+    if (!request) {
+        return;
+    }
+    if (kept.entries_.count(*request) == 0) {
+        make_room(kept);
+    }
+    kept_suspicion& known = kept.entries_[*request];
+    known.fact_ = changed;
+    known.expires_at_ = now + std::chrono::seconds{changed.lifetime_s_};
+    known.raised_here_ |= raised_here;
+}
+
+void on_kept_read(kept_suspicions& kept, fingerprint request, std::uint64_t version)
+{
+    if (kept.entries_.count(request) == 0) {
+        make_room(kept);
+    }
+    kept.entries_[request].stored_version_ = version;
+}
+
+const kept_suspicion* next_write(kept_suspicions& kept, keeper_role role, time_point now)
+{
+    if (kept.writing_ || now < kept.next_at_) {
+        return nullptr;
+    }
+    const kept_suspicion* chosen = nullptr;
+    for (const auto& [request, known] : kept.entries_) {
+        const bool more_crashes =
+            chosen == nullptr || known.fact_.version_ > chosen->fact_.version_;
+        if (is_due(known, role, now) && more_crashes) {
+            chosen = &known;
+            kept.writing_ = request;
+            kept.writing_version_ = known.fact_.version_;
+        }
+    }
+    return chosen;
+}
+
+void on_write_ended(kept_suspicions& kept, write_end end, time_point now, random_source& random)
+{
+    const auto request = std::exchange(kept.writing_, std::nullopt);
+    const auto found = request ? kept.entries_.find(*request) : kept.entries_.end();
+    if (found != kept.entries_.end() && end == write_end::gone) {
+        found->second.stored_version_ = 0;
+    }
+    if (found != kept.entries_.end() && end == write_end::existed) {
+        // Its version is read by the hosts that follow the store's suspicions, and is 1 at least.
+        found->second.stored_version_ = std::max<std::uint64_t>(found->second.stored_version_, 1);
+    }
+    if (end != write_end::written && ++kept.failures_ < kept_tries_max) {
+        kept.next_at_ = end == write_end::existed
+                            ? now
+                            : now + backoff(retry_min, retry_max, kept.failures_ - 1, random);
+        return;
+    }
+    if (found != kept.entries_.end()) {
+        found->second.stored_version_ = kept.writing_version_;
+    }
+    kept.failures_ = 0;
+    kept.next_at_ = now + kept_write_interval;
+}
+
+std::optional<time_point> next_write_at(const kept_suspicions& kept, keeper_role role,
+                                        time_point now)
+{
+    const bool any = std::any_of(kept.entries_.begin(), kept.entries_.end(),
+                                 [&](const auto& one) { return is_due(one.second, role, now); });
+    return any && !kept.writing_ ? std::optional{std::max(now, kept.next_at_)} : std::nullopt;
+}
+
+} // namespace savoryscale::admission
--- /dev/null
+++ b/src/admission/kept_suspicions.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+// Which suspicions a host writes to the store, where they outlast all hosts, and reach hosts that
+// no host of the feed answers. Nothing is written while no request crashes targets.
+
+#include "admission/quarantine.hpp"
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "peer/fact.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace savoryscale::admission {
+
+// A host of the feed writes what concerns all hosts. A lone host, which none of them answers,
+// writes each crash that it saw. The others leave it to the hosts of the feed.
+enum class keeper_role : std::uint8_t { none, lone, feed };
+
+struct kept_suspicion {
+    peer::fact fact_; // as this host knows it
+    time_point expires_at_{};
+    std::uint64_t stored_version_ = 0; // of the store's object, as far as known; 0: there is none
+    bool raised_here_ = false;         // this host saw a crash of it
+};
+
+struct kept_suspicions {
+    std::map<fingerprint, kept_suspicion> entries_; // at most kept_suspicions_max
+    std::optional<fingerprint> writing_;
+    std::uint64_t writing_version_ = 0;
+    time_point next_at_{}; // no write before this time
+    std::uint32_t failures_ = 0;
+};
+
+inline constexpr std::size_t kept_suspicions_max = 256;
+
+// Between two writes of a host: the hosts together must leave the store room for its other writers.
+inline constexpr std::chrono::milliseconds kept_write_interval{1000};
+
+// A write is tried this often; each try doubles the wait.
+inline constexpr std::uint32_t kept_tries_max = 5;
+
+// A suspicion is new or has changed. `raised_here`: not because another host or the store told it.
+void on_suspicion_changed(kept_suspicions&, const peer::fact&, bool raised_here, time_point now);
+
+// The store's object has this version; 0: it was removed.
+void on_kept_read(kept_suspicions&, fingerprint, std::uint64_t version);
+
+// What to write now; none while a write is in flight, before next_at_, or when nothing is due.
+// Whether the object exists already: its stored_version_ is not 0.
+const kept_suspicion* next_write(kept_suspicions&, keeper_role, time_point now);
+
+// `existed`: it was to be created and another host has done so. `gone`: it was to be replaced and
+// has been removed.
+enum class write_end : std::uint8_t { written, existed, gone, failed };
+void on_write_ended(kept_suspicions&, write_end, time_point now, random_source&);
+
+// When to call next_write again; none while a write is in flight or nothing is to be written.
+std::optional<time_point> next_write_at(const kept_suspicions&, keeper_role, time_point now);
+
+} // namespace savoryscale::admission
--- a/src/admission/quarantine.cpp
+++ b/src/admission/quarantine.cpp
@@ -354,6 +354,16 @@
            parse_crashes(suspicion.payload_);
 }
 
+std::uint64_t version_of(const peer::fact& suspicion)
+{
+    std::uint64_t version = 0;
+    for (const named_crash& one :
+         parse_crashes(suspicion.payload_).value_or(std::vector<named_crash>{})) {
+        version += one.cleared_ ? 2 : 1;
+    }
+    return version;
+}
+
 bool concerns_all_hosts(const peer::fact& suspicion)
 {
     const auto crashes = parse_crashes(suspicion.payload_);
--- a/src/admission/quarantine.hpp
+++ b/src/admission/quarantine.hpp
@@ -130,6 +130,9 @@
 // Whether the fact is a suspicion that merge() takes.
 bool is_valid(const peer::fact& suspicion);
 
+// Counts the crashes that a suspicion names, cleared ones twice; 0 for one that is not valid.
+std::uint64_t version_of(const peer::fact& suspicion);
+
 // Whether peers that serve no others need the suspicion: it has, or had, enough crashes to refuse
 // the request.
 bool concerns_all_hosts(const peer::fact& suspicion);
--- a/src/directory/dialect.hpp
+++ b/src/directory/dialect.hpp
@@ -21,11 +21,15 @@
     std::string_view configuration_name_;
     std::string_view targets_kind_;
     std::string_view
-        emptied_kind_;           // one object for each data centre that is to be emptied, by name
-    std::string_view era_field_; // header field of an answer that names the store's era
+        emptied_kind_; // one object for each data centre that is to be emptied, by name
+    std::string_view suspicions_kind_; // of this system's own: requests that crash targets
+    std::string_view era_field_;       // header field of an answer that names the store's era
 
     // Path and query of the GET request that lists or watches a kind.
     std::string (*call_path_)(std::string_view kind, const follow_call&) = nullptr;
+    // Path of one object, and the document that creates or replaces it with this value.
+    std::string (*object_path_)(std::string_view kind, std::string_view name) = nullptr;
+    std::string (*write_object_)(std::string_view name, const nlohmann::json& value) = nullptr;
     result<list_page> (*read_list_)(std::string_view body) = nullptr;
     result<change_page> (*read_changes_)(std::string_view body) = nullptr;
     result<routes::desired_state> (*read_desired_state_)(const nlohmann::json&) = nullptr;
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -1,5 +1,6 @@
 #include "directory/directory_task.hpp"
 
+#include "admission/quarantine.hpp"
 #include "directory/dialect.hpp"
 #include "http/event_loop.hpp"
 #include "http/log_fields.hpp"
@@ -18,7 +19,7 @@
 
 // Connections to the store: for each kind that is followed, one in use and one to replace it
 // if it does not respond.
-constexpr std::size_t connections_max = 4;
+constexpr std::size_t connections_max = 8;
 
 // Fractions of the drain time, within which every host must learn that a target is leaving. A host
 // that serves no peers pauses for default_pause_fraction between an update and the next call; the
@@ -94,6 +95,12 @@
                random_,
                {[this](const follow_update& update) { on_targets(update); }, events_.on_store_call_,
                 [this](auto era, time_point began) { return on_era(era, began, configuration_); }}},
+      keeper_{loop,
+              pool_,
+              store_dialect,
+              random_,
+              {[this](const std::vector<peer::fact>& kept) { receive_suspicions(kept); },
+               events_.on_store_call_}},
       client_{loop,
               fraction_of(config.drain_, feed_age_max_fraction) + feed_response_margin,
               random_,
@@ -182,6 +189,7 @@
     }
     set_store_active(store_needed);
     client_.set_active(is_peer_needed(source_, now));
+    keeper_.set_reading(store_needed && source_.has_peers_, source_.is_configured_source_);
     if (const auto next = next_source_check(source_, now)) {
         source_check_timer_ = loop_.at(*next, [this] {
             source_check_timer_ = 0;
@@ -323,9 +331,7 @@
                                 "run compatible releases on all entry hosts"});
     }
     apply_page_targets(page, now);
-    if (!page.suspicions_.empty() && events_.on_suspicions_) {
-        events_.on_suspicions_(page.suspicions_);
-    }
+    receive_suspicions(page.suspicions_);
     if (peer_started && events_.on_peer_started_) {
         events_.on_peer_started_(client_.peer_name());
     }
@@ -354,10 +360,22 @@
     return hosts;
 }
 
+void directory_task::receive_suspicions(const std::vector<peer::fact>& suspicions)
+{
+    if (!suspicions.empty() && events_.on_suspicions_) {
+        const bool before = std::exchange(receiving_suspicions_, true);
+        events_.on_suspicions_(suspicions);
+        receiving_suspicions_ = before;
+    }
+}
+
 void directory_task::share_suspicion(const peer::fact& suspicion)
 {
-    update_suspicion(feed_, suspicion, loop_.now());
-    server_.answer_readers();
+    if (admission::concerns_all_hosts(suspicion)) {
+        update_suspicion(feed_, suspicion, loop_.now());
+        server_.answer_readers();
+    }
+    keeper_.on_suspicion(suspicion, !receiving_suspicions_);
 }
 
 void directory_task::apply_page_targets(const feed_page& page, time_point now)
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -13,6 +13,7 @@
 #include "directory/registry.hpp"
 #include "directory/source.hpp"
 #include "directory/store_era.hpp"
+#include "directory/suspicion_keeper.hpp"
 #include "http/connection_pool.hpp"
 #include "http/page_server.hpp"
 #include "routes/route.hpp"
@@ -40,7 +41,7 @@
     std::function<void()> on_peers_lost_; // newer settings may list other peers; see set_peers
     // Another host's request that is not about the directory.
     std::function<http::page(std::string_view path)> on_peer_request_;
-    std::function<void(const std::vector<peer::fact>&)> on_suspicions_; // from a peer
+    std::function<void(const std::vector<peer::fact>&)> on_suspicions_; // from a peer or the store
     std::function<std::vector<service_hash>()> unreached_services_;     // by this host
     // This host reads from a peer ("ip:port") that it has not read from since that was started.
     std::function<void(const std::string& peer)> on_peer_started_;
@@ -64,7 +65,7 @@
     // Sets the hosts to request data from, after the settings have changed.
     void set_peers(const std::vector<settings::endpoint>& hosts);
 
-    // Passes a suspicion on to the hosts that read from this one.
+    // Passes a suspicion on to the hosts that read from this one, or through the store.
     void share_suspicion(const peer::fact& suspicion);
 
     // The hosts that read from this one, and this one itself, those in the data centre first.
@@ -80,6 +81,7 @@
     void on_targets(const follow_update& update);
     void apply_target_list(const std::vector<stored_object>& objects, time_point now);
     bool on_page(const feed_page& page);
+    void receive_suspicions(const std::vector<peer::fact>& suspicions);
     void apply_page_targets(const feed_page& page, time_point now);
     void update_store_as_of();
     std::optional<announced_host> own_announcement() const;
@@ -111,6 +113,8 @@
     http::timer_id expiry_timer_ = 0;
     follower configuration_;
     follower targets_;
+    suspicion_keeper keeper_;
+    bool receiving_suspicions_ = false; // on_suspicions_ is being called
     feed feed_;
     source_state source_;
     feed_position position_;                     // in the feed of the peer that responded last
--- a/src/http/http_task_crashes.cpp
+++ b/src/http/http_task_crashes.cpp
@@ -278,8 +278,7 @@
     }
 }
 
-// Passes the suspicion to the tasks that bring it to other hosts. A host that follows a directory
-// passes on to its readers only what makes them refuse a request.
+// Passes the suspicion to the tasks that bring it to other hosts.
 void http_task::share_suspicion(admission::fingerprint request)
 {
     if (!events_.on_suspicion_) {
@@ -289,10 +288,7 @@
         events_.on_suspicion_(admission::suspicion_of(quarantine_, request));
         return;
     }
-    const peer::fact suspicion = admission::shared_suspicion_of(quarantine_, request, loop_.now());
-    if (admission::concerns_all_hosts(suspicion)) {
-        events_.on_suspicion_(suspicion);
-    }
+    events_.on_suspicion_(admission::shared_suspicion_of(quarantine_, request, loop_.now()));
 }
 
 } // namespace savoryscale::http
--- a/tests/crashing_request_hosts_test.cpp
+++ b/tests/crashing_request_hosts_test.cpp
@@ -298,3 +298,45 @@
     STRCMP_CONTAINS("not-run", send(0, "/sell/silence").c_str());
     LONGS_EQUAL(2, silent());
 }
+
+// No host of the feed is left to tell the others (review, case 1).
+TEST(crashing_request_hosts, such_a_request_is_sent_on_once_all_hosts_of_the_feed_have_left)
+{
+    start(7, 16);
+    for (int i = 0; i < 3; ++i) {
+        hosts[static_cast<std::size_t>(i)].reset();
+    }
+    std::this_thread::sleep_for(6s); // the others read the store themselves
+    LONGS_EQUAL(0, store.writes());
+    for (std::size_t i = 0; i < 12; ++i) {
+        send(3 + i % 4, "/sell/crash");
+        std::this_thread::sleep_for(200ms);
+    }
+    CHECK_TEXT(crashes <= 3, fmt::format("{} targets crashed", crashes.load()).c_str());
+    STRCMP_CONTAINS("done", send(4, "/sell/7").c_str());
+}
+
+// No host is left that remembers (review, case 5).
+TEST(crashing_request_hosts, such_a_request_is_sent_on_after_all_hosts_were_killed)
+{
+    start(4, 12);
+    LONGS_EQUAL(0, store.writes());
+    while (crashes < 2) {
+        send(3, "/sell/crash");
+    }
+    for (int i = 0; i < 300 && store.count("suspicions") == 0; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    hosts.clear();
+    for (int i = 0; i < 4; ++i) {
+        hosts.push_back(std::make_unique<running_routed_host>(host_settings(i)));
+    }
+    for (auto& host : hosts) {
+        CHECK(host->reaches(1, targets.size()));
+    }
+    std::this_thread::sleep_for(300ms);
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        STRCMP_CONTAINS("not-run", send(host, "/sell/crash").c_str());
+    }
+    LONGS_EQUAL(2, crashes.load());
+}
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -70,6 +70,14 @@
     }
 
     [[nodiscard]] int calls() const { return calls_; }
+    [[nodiscard]] int writes() const { return writes_; }
+
+    // Whether there is an object of this kind and name, 1 or 0; without a name, how many there are.
+    std::size_t count(const std::string& kind, const std::string& name = {})
+    {
+        const std::lock_guard lock{mutex_};
+        return name.empty() ? objects_[kind].size() : objects_[kind].count(name);
+    }
 
     // Keeps a copy of the objects and the revision, for restore().
     void keep_copy()
@@ -130,6 +138,10 @@
             const auto kind_at = request.find("/-/objects/") + 11;
             const std::string kind =
                 request.substr(kind_at, request.find_first_of(" ?", kind_at) - kind_at);
+            if (!request.starts_with("GET ")) {
+                connection.send(write(request, kind));
+                continue;
+            }
             const auto watch = request.find("watch=");
             const std::uint64_t from =
                 watch == std::string::npos ? 0 : std::stoull(request.substr(watch + 6));
@@ -149,6 +161,31 @@
         }
     }
 
+    // Carries out POST, PUT or DELETE and returns the answer.
+    std::string write(const std::string& request, const std::string& path)
+    {
+        ++writes_;
+        const auto slash = std::min(path.find('/'), path.size());
+        const std::string kind = path.substr(0, slash);
+        const auto body =
+            nlohmann::json::parse(request.substr(request.find("\r\n\r\n") + 4), nullptr, false);
+        const std::string name = slash < path.size()
+                                     ? path.substr(slash + 1)
+                                     : body.at("metadata").at("name").get<std::string>();
+        const bool exists = count(kind, name) > 0;
+        if (request.starts_with("POST ") == exists) {
+            return exists ? "HTTP/1.1 409 No\r\nContent-Length: 0\r\n\r\n"
+                          : "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n";
+        }
+        if (request.starts_with("DELETE ")) {
+            remove(kind, name);
+        }
+        else {
+            put(kind, name, body.at("spec"));
+        }
+        return ok_answer("{}", era_field());
+    }
+
     std::uint64_t revision()
     {
         const std::lock_guard lock{mutex_};
@@ -208,6 +245,7 @@
     bool closing_ = false;
     bool unavailable_ = false;
     std::atomic<int> calls_ = 0;
+    std::atomic<int> writes_ = 0;
     std::uint64_t revision_ = 10;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
     std::vector<change> log_;
