--- a/src/directory/follow.cpp
+++ b/src/directory/follow.cpp
@@ -117,8 +117,8 @@
         state.after_ = state.listed_objects_.back().name_;
         return update;
     }
-    // Pages may be of different moments, and stale ones in any order. The watch starts at the oldest
-    // page's revision to receive every change that a page may lack.
+    // Pages may be of different moments, and stale ones in any order. The watch starts at the
+    // oldest page's revision to receive every change that a page may lack.
     state.listed_ = true;
     state.revision_ = state.oldest_revision_;
     state.after_.clear();
