--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -56,28 +56,9 @@
     routing::on_search_started(service_.placement_budget_,
                                std::chrono::duration<double>{mean}.count());
     deny_ungrantable();
-    if (use_recent_reports()) {
-        proceed();
-        return;
-    }
     begin_round();
 }
 
-// While probes are scarce, other requests' reports count as probes. Returns whether they already
-// show a free target.
-bool target_search::use_recent_reports()
-{
-    if (service_.placement_budget_.probes_ >= service_.placement_budget_.scarce_below_) {
-        return false;
-    }
-    const time_point now = http_task_.loop().now();
-    probed_ = routing::recent_reports(service_.view_, exclude_, now);
-    for (const routing::probed_target& one : probed_) {
-        exclude_.push_back(one.target_);
-    }
-    return routing::has_free_target(service_.view_, probed_, now);
-}
-
 void target_search::begin_round()
 {
     const std::size_t count = routing::take_probes(service_.placement_budget_, options.round_size_);
--- a/src/http/target_search.hpp
+++ b/src/http/target_search.hpp
@@ -57,7 +57,6 @@
     void start();
 
 private:
-    bool use_recent_reports();
     void begin_round();
     void on_probe(std::size_t round, const routing::probed_target& answered, bool usable);
     void proceed();
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -31,9 +31,6 @@
 constexpr double extra_attempts_min = 1.2; // just enough for one
 constexpr double slack_fraction = 0.6;     // the rest covers hosts raised to extra_attempts_min
 constexpr double mean_weight = 0.02;       // of one sample in a moving average
-// Age of a report that stands in for a probe, of the usual latency: few of the target's requests
-// have ended or begun meanwhile.
-constexpr double report_age_max = 0.125;
 constexpr double default_work_ns = 1e8;    // before the first answer
 
 double work_ns(const service_view& view)
@@ -141,14 +138,6 @@
     return from;
 }
 
-bool is_recent(const target_state& target, duration age_max, time_point now)
-{
-    if (!target.load_ || target.limit_ || now - target.load_->at_ > age_max) {
-        return false;
-    }
-    return target.started_.empty() || target.started_.back() < target.load_->at_;
-}
-
 bool has_unlimited_target(const service_view& view)
 {
     return std::any_of(view.targets_.begin(), view.targets_.end(), [](const target_state& target) {
@@ -181,24 +170,6 @@
     return chosen;
 }
 
-std::vector<probed_target> recent_reports(const service_view& view,
-                                          std::span<const target_index> exclude, time_point now)
-{
-    const duration age_max{static_cast<std::int64_t>(view.mean_latency_ns_ * report_age_max)};
-    std::vector<probed_target> recent;
-    for (const target_index index : eligible_targets(view, exclude)) {
-        const target_state& target = view.targets_[index];
-        if (is_recent(target, age_max, now) && is_available(target, now)) {
-            load_report load;
-            load.requests_in_flight_ = target.load_->requests_in_flight_;
-            load.slots_ = target.load_->slots_;
-            load.slowdown_ = target.load_->slowdown_;
-            recent.push_back({index, load});
-        }
-    }
-    return recent;
-}
-
 void on_search_started(placement_budget& budget, double mean_latency_s)
 {
     const double in_flight = std::max(budget.mean_in_flight_, in_flight_min);
--- a/src/routing/placement.hpp
+++ b/src/routing/placement.hpp
@@ -26,11 +26,6 @@
     std::optional<load_report> load_; // none: the answer had no load report
 };
 
-// The reports that are recent enough to stand in for probes while these are scarce, of targets
-// without a limit at which this host has started no attempt since.
-std::vector<probed_target> recent_reports(const service_view&,
-                                          std::span<const target_index> exclude, time_point now);
-
 struct placement_options {
     std::size_t round_size_ = 4; // targets probed at once
     std::size_t rounds_max_ = 4;
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -149,7 +149,7 @@
     const double in_flight = std::max(load.requests_in_flight_, busy_slots);
     const double others = std::max(0.0, in_flight - target.in_flight_);
     view.mean_others_in_flight_ += mean_weight * (others - view.mean_others_in_flight_);
-    target.load_ = received_load{in_flight, others, now, load.slots_, load.slowdown_};
+    target.load_ = received_load{in_flight, others, now};
     add(view.reports_, {index, in_flight, now, 0});
 }
 
--- a/src/routing/target_state.hpp
+++ b/src/routing/target_state.hpp
@@ -17,8 +17,6 @@
     double requests_in_flight_ = 0; // of all hosts
     double others_in_flight_ = 0;   // of the other hosts: without our own at that time
     time_point at_{};
-    double slots_ = 0; // as in load_report
-    double slowdown_ = 1;
 };
 
 // All values are this host's own observations of the target's current incarnation.
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -311,14 +311,6 @@
         targets_.resize(target_count);
     }
 
-    // Probes are reports as well; if `counts_recent`, the latest count as probes while these are
-    // scarce.
-    void record_probes(bool counts_recent)
-    {
-        records_probes_ = true;
-        counts_recent_ = counts_recent;
-    }
-
     // Probes per target and second so far.
     double probe_rate() const
     {
@@ -399,12 +391,6 @@
         routing::on_search_started(budget, host.mean_latency_ns_ / 1e9);
         std::vector<probed_target> all;
         std::vector<target_index> seen;
-        if (counts_recent_ && budget.probes_ < budget.scarce_below_) {
-            all = routing::recent_reports(host, {}, now_);
-        }
-        for (const probed_target& one : all) {
-            seen.push_back(one.target_);
-        }
         std::optional<routing::placed_attempt> placed;
         for (std::size_t round = 0; round < options.rounds_max_; ++round) {
             const std::size_t count = probes_granted(number, options.round_size_);
@@ -412,9 +398,6 @@
                  routing::probe_candidates(host, seen, count, round == 0, now_, random_)) {
                 seen.push_back(next);
                 all.push_back({next, load_of(next)});
-                if (records_probes_) {
-                    routing::on_probe_ended(host, next, load_of(next), now_);
-                }
                 ++probes_;
             }
             placed = routing::place(host, all, options, now_, random_);
@@ -456,8 +439,6 @@
     time_point start_ = time_point{} + 100s;
     time_point now_ = start_;
     bool bounded_;
-    bool records_probes_ = false;
-    bool counts_recent_ = false;
     std::size_t probes_ = 0;
     std::vector<routing::service_view> hosts_;
     std::vector<routing::placement_budget> budgets_;
@@ -518,23 +499,6 @@
     CHECK(now > before + 0.05);
 }
 
-// High load from the start, as after all hosts have lost power: no probes are saved, and each search
-// has about three.
-TEST(placement_load, while_probes_are_scarce_the_latest_reports_find_more_free_targets)
-{
-    const auto share_in_time = [](bool counts_recent, double per_second) {
-        double sum = 0;
-        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-            noisy_service simulated{routing::policy::probed, seed, routing::placement_budget{}};
-            simulated.record_probes(counts_recent);
-            sum += simulated.run(3000, per_second) / 8;
-        }
-        return sum;
-    };
-    for (double rate : {200.0, 230.0, 260.0}) { UT_PRINT(StringFromFormat("%.0f before %.3f now %.3f", rate, share_in_time(false, rate), share_in_time(true, rate)).asCharString()); }
-    CHECK(share_in_time(true, 230) > share_in_time(false, 230) + 0.02);
-}
-
 namespace {
 
 // An overloaded service in virtual time: targets of three slots that slow down when all of them are
