--- a/src/http/allotment_reports.cpp
+++ b/src/http/allotment_reports.cpp
@@ -140,11 +140,10 @@
                : 0;
 }
 
-void allotment_reports::decide(const waiting_request& request,
-                               organisations::use_decision decided)
+void allotment_reports::decide(const waiting_request& request, organisations::use_decision decided)
 {
-    decided.return_time_ = organisations::return_time(use_, request.organisation_,
-                                                      decided.verdict_, loop_.now());
+    decided.return_time_ =
+        organisations::return_time(use_, request.organisation_, decided.verdict_, loop_.now());
     request.decided_(decided);
 }
 
@@ -172,8 +171,7 @@
     }
     metrics_.allotment_reports_[telemetry::direction::received].Increment();
     return {status_ok, "text/plain",
-            peer::write_allotment_answer(
-                organisations::on_report(granter_, *report, loop_.now()))};
+            peer::write_allotment_answer(organisations::on_report(granter_, *report, loop_.now()))};
 }
 
 allotment_reports::granter* allotment_reports::next_granter()
@@ -208,8 +206,7 @@
         resolve_alone(std::exchange(waiting_, {}));
         return;
     }
-    auto report =
-        organisations::take_report(use_, own_name_, asked != last_answered_, loop_.now());
+    auto report = organisations::take_report(use_, own_name_, asked != last_answered_, loop_.now());
     std::map<organisations::name_hash, std::uint32_t> wanted;
     for (const waiting_request& each : waiting_) {
         ++wanted[each.organisation_];
@@ -222,8 +219,7 @@
         report.uses_.push_back({organisation, 0, count});
     }
     // Requests beyond the bound are decided by this host alone.
-    report.uses_.resize(
-        std::min(report.uses_.size(), organisations::reported_organisations_max));
+    report.uses_.resize(std::min(report.uses_.size(), organisations::reported_organisations_max));
     asked_ = std::exchange(waiting_, {});
     if (asked->pool_ == nullptr) {
         const auto answer = organisations::on_report(granter_, report, loop_.now());
@@ -310,10 +306,10 @@
                           found->second.wait_});
         }
     }
-    resolve_alone(std::move(unanswered));
+    resolve_alone(unanswered);
 }
 
-void allotment_reports::resolve_alone(std::list<waiting_request> requests)
+void allotment_reports::resolve_alone(const std::list<waiting_request>& requests)
 {
     for (const waiting_request& each : requests) {
         if (each.decided_) {
--- a/src/http/allotment_reports.hpp
+++ b/src/http/allotment_reports.hpp
@@ -85,7 +85,7 @@
     void on_exchange_ended(granter& asked, const buffered_answer& answer);
     void on_answer(const organisations::use_answer& answer);
     void resolve(std::list<waiting_request> requests, const organisations::use_answer& answer);
-    void resolve_alone(std::list<waiting_request> requests);
+    void resolve_alone(const std::list<waiting_request>& requests);
 
     event_loop& loop_;
     random_source& random_;
--- a/src/http/proxied_call_allotment.cpp
+++ b/src/http/proxied_call_allotment.cpp
@@ -36,15 +36,14 @@
         return;
     }
     // Callers who were refused together return apart.
-    const duration spread{
-        static_cast<std::int64_t>(uniform_unit(http_task_.random()) *
-                                  static_cast<double>(decided.return_time_.count()))};
+    const duration spread{static_cast<std::int64_t>(
+        uniform_unit(http_task_.random()) * static_cast<double>(decided.return_time_.count()))};
     telemetry::decided("allotment_refused", request_id_,
                        {{"organisation", organisation_->name_},
                         {"by", std::string{to_string(decided.by_)}},
                         {"wait_ms", log_ms(decided.wait_)}});
-    refuse(admission::send_verdict{admission::refusal_cause::over_allotment,
-                                   decided.wait_ + spread});
+    refuse(
+        admission::send_verdict{admission::refusal_cause::over_allotment, decided.wait_ + spread});
 }
 
 // Requests that do not run take nothing of the allotment.
--- a/src/organisations/allotment_granter.hpp
+++ b/src/organisations/allotment_granter.hpp
@@ -21,8 +21,8 @@
 
 struct allotment_account {
     allotment limit_;
-    double tokens_ = 0;      // requests that may be granted now; negative: too many were let through
-    double filled_at_ = 0;   // of allotment_granter::share_seconds_
+    double tokens_ = 0;    // requests that may be granted now; negative: too many were let through
+    double filled_at_ = 0; // of allotment_granter::share_seconds_
     double welcomed_at_ = 0; // of allotment_granter::welcomes_
 };
 
@@ -34,7 +34,7 @@
 struct allotment_granter {
     settings::allotment_bounds bounds_;
     std::unordered_map<name_hash, allotment_account> accounts_; // organisations with a limit
-    std::unordered_set<name_hash> near_limit_;                  // may contain some that no longer are
+    std::unordered_set<name_hash> near_limit_; // may contain some that no longer are
     std::unordered_map<name_hash, reporting_host> hosts_;
     std::size_t present_ = 0;
     std::uint32_t hosts_told_ = 0; // by the hosts, the largest number lately
--- a/src/organisations/allotment_use.cpp
+++ b/src/organisations/allotment_use.cpp
@@ -85,8 +85,8 @@
                     time_point now)
 {
     const duration since = now - *use.answered_at_;
-    const double part = own_tokens_max(use, limit) +
-                        seconds_of(since) * limit.per_second_ / hosts_of(use);
+    const double part =
+        own_tokens_max(use, limit) + seconds_of(since) * limit.per_second_ / hosts_of(use);
     return since > late_time && own.unreported_ + own.sending_ >= 1 + part;
 }
 
@@ -127,8 +127,8 @@
         own.own_tokens_ = (is_saved_again ? most : own.own_tokens_) - std::max(0, own.unreported_);
         own.own_filled_at_ = *use.alone_since_;
     }
-    own.own_tokens_ = std::min(
-        most, own.own_tokens_ + own_tokens_between(use, limit, own.own_filled_at_, now));
+    own.own_tokens_ =
+        std::min(most, own.own_tokens_ + own_tokens_between(use, limit, own.own_filled_at_, now));
     own.own_filled_at_ = now;
     if (own.own_tokens_ >= 1) {
         own.own_tokens_ -= 1;
@@ -154,8 +154,7 @@
     own.counted_at_ = now;
     own.passed_ = own.passed_ * kept + (verdict == use_verdict::passed ? 1 : 0);
     own.refused_ = own.refused_ * kept + (verdict == use_verdict::refused ? 1 : 0);
-    const double seconds =
-        seconds_of(memory_time) * own.refused_ / std::max(1.0, own.passed_);
+    const double seconds = seconds_of(memory_time) * own.refused_ / std::max(1.0, own.passed_);
     return std::clamp<duration>(
         std::chrono::duration_cast<duration>(std::chrono::duration<double>{seconds}), return_min,
         return_max);
--- a/src/organisations/allotment_use.hpp
+++ b/src/organisations/allotment_use.hpp
@@ -53,7 +53,7 @@
 
 struct use_decision {
     use_verdict verdict_ = use_verdict::passed;
-    duration wait_{}; // if refused: until a request may pass
+    duration wait_{};                       // if refused: until a request may pass
     use_decider by_ = use_decider::granter; // if refused
     duration return_time_{};                // if refused: callers return within this time after it
 };
--- a/src/peer/allotment_wire.cpp
+++ b/src/peer/allotment_wire.cpp
@@ -54,8 +54,7 @@
 
 std::string write_allotment_path(const organisations::use_report& report)
 {
-    std::string path =
-        fmt::format("{}{:x};{}", allotment_path_prefix, report.host_, report.hosts_);
+    std::string path = fmt::format("{}{:x};{}", allotment_path_prefix, report.host_, report.hosts_);
     for (const organisations::reported_use& use : report.uses_) {
         fmt::format_to(std::back_inserter(path), ";{:x}={},{}", use.organisation_, use.used_,
                        use.wanted_);
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -128,8 +128,8 @@
             registry, "send_refusals_total", "Requests refused before they were sent, by cause.",
             "cause", admission::refusal_cause_names),
         register_counter_set<decltype(metrics::allotment_reports_)>(
-            registry, "allotment_reports_total",
-            "Reports of entry hosts on the use of allotments.", "direction", directions),
+            registry, "allotment_reports_total", "Reports of entry hosts on the use of allotments.",
+            "direction", directions),
         gauge(registry, "suspects", "Requests known to have been in flight at a crash."),
         gauge(registry, "services_unreachable", "Services of which this host reaches no target."),
         register_counter_set<decltype(metrics::relayed_requests_)>(
--- a/tests/allotments_test.cpp
+++ b/tests/allotments_test.cpp
@@ -94,8 +94,8 @@
             if (granter == 0 && now_ < each.retry_first_at_) {
                 continue;
             }
-            auto sent = take_report(each.use_, index + 1,
-                                    each.granter_ != static_cast<int>(granter), now_);
+            auto sent =
+                take_report(each.use_, index + 1, each.granter_ != static_cast<int>(granter), now_);
             if (wanted > 0) {
                 if (sent.uses_.empty()) {
                     sent.uses_.push_back({name_, 0, 0});
--- a/tests/keys_test.cpp
+++ b/tests/keys_test.cpp
@@ -27,8 +27,8 @@
 TEST_GROUP(keys)
 {
     std::mutex mutex;
-    std::string received; // the request last received by a target
-    int requests = 0;     // that targets have received
+    std::string received;   // the request last received by a target
+    int requests = 0;       // that targets have received
     bool withdraws = false; // the key is withdrawn when a target has received the next request
     scripted_store store;
     std::unique_ptr<fake_upstream> target;
@@ -58,7 +58,7 @@
         CHECK(host->reaches(1, 2));
     }
 
-    void serve(script_connection& connection)
+    void serve(script_connection & connection)
     {
         while (true) {
             const std::string request = connection.read_request();
