--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -390,7 +390,7 @@
     if (found == finishing_.end()) {
         return false;
     }
-    (*found)->output_ = std::string{};
+    std::string{}.swap((*found)->output_);
     (*found)->sent_ = 0;
     (*found)->request_close();
     return true;
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -186,17 +186,21 @@
     }
     if (!has_head()) {
         auto read = read_head();
+        if (!read) {
+            std::string{}.swap(pending_); // an assignment would keep the room
+        }
         if (!read || !has_head()) {
             return read;
         }
     }
     const auto used = read_body(in_place ? bytes : std::string_view{pending_});
     if (!used) {
+        std::string{}.swap(pending_); // an assignment would keep the room
         return tl::unexpected(used.error());
     }
     const std::size_t left = (in_place ? bytes.size() : pending_.size()) - *used;
     if (!complete() && left > max_header_bytes_) {
-        pending_ = std::string{};
+        std::string{}.swap(pending_); // an assignment would keep the room
         return tl::unexpected(malformed("chunk header or trailer too long"));
     }
     if (in_place) {
--- a/src/http/socket.cpp
+++ b/src/http/socket.cpp
@@ -222,7 +222,7 @@
 void socket::discard_sent()
 {
     if (queued() == 0 && output_.capacity() > kept_bytes) {
-        output_ = std::string{};
+        std::string{}.swap(output_); // an assignment would keep the room
     }
     else {
         output_.erase(0, sent_);
--- a/tests/message_reader_test.cpp
+++ b/tests/message_reader_test.cpp
@@ -81,3 +81,39 @@
     CHECK(!fed.has_value());
     CHECK(fed.error().kind_ == savoryscale::error_kind::exhausted);
 }
+
+// Load: uploads and trailers that come in large reads, on many connections that stay open.
+TEST(message_reader, keeps_no_room_of_large_reads)
+{
+    constexpr std::size_t room_max = 8192;
+    const std::string large(65536, 'x');
+    std::string body;
+    message_reader<request_head> upload{header_limit};
+    CHECK(upload.feed("POST /a HTTP/1.1\r\nContent-Length: 131072\r\n\r\n" + large, body)
+              .has_value());
+    CHECK(upload.feed(large, body).has_value());
+    CHECK(upload.complete());
+    CHECK(upload.held_bytes() <= room_max);
+
+    message_reader<request_head> trailers{header_limit};
+    CHECK(trailers.feed("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", body)
+              .has_value());
+    CHECK(!trailers.feed("a: " + large, body).has_value());
+    CHECK(trailers.held_bytes() <= room_max);
+}
+
+TEST(message_reader, a_head_counts_by_its_memory_and_can_be_taken_away)
+{
+    constexpr std::size_t fields = 200;
+    std::string text = "GET /a HTTP/1.1\r\n";
+    for (std::size_t i = 0; i < fields; ++i) {
+        text += "a:\r\n";
+    }
+    std::string body;
+    message_reader<request_head> reader{header_limit};
+    CHECK(reader.feed(text + "\r\n", body).has_value());
+    const request_head head = reader.take_head();
+    LONGS_EQUAL(fields, head.fields_.size());
+    CHECK(held_bytes(head) >= fields * sizeof(header_field));
+    CHECK(reader.head().fields_.empty());
+}
