--- a/src/admission/room.cpp
+++ b/src/admission/room.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <functional>
 
 namespace savoryscale::admission {
 
@@ -87,8 +88,8 @@
     if (request.tried_ + request.usual_work_ <= *request.objective_) {
         return standing::timely;
     }
-    const bool may_return = request.left_ && request.tried_ < scaled(request.tried_ + *request.left_,
-                                                                     closing_fraction);
+    const bool may_return =
+        request.left_ && request.tried_ < scaled(request.tried_ + *request.left_, closing_fraction);
     return may_return ? standing::overdue : standing::closing;
 }
 
--- a/src/admission/room.hpp
+++ b/src/admission/room.hpp
@@ -55,10 +55,10 @@
 }
 
 struct room_request {
-    duration tried_{};                 // since the caller's first try
-    std::optional<duration> left_;     // until the caller gives up; none: it does not say
+    duration tried_{};                  // since the caller's first try
+    std::optional<duration> left_;      // until the caller gives up; none: it does not say
     std::optional<duration> objective_; // from the first try on; none: the route has none
-    duration usual_work_{};            // expected latency at a free target; zero: unknown
+    duration usual_work_{};             // expected latency at a free target; zero: unknown
 };
 standing standing_of(const room&, const room_request&, time_point now);
 
--- a/src/http/proxied_call_room.cpp
+++ b/src/http/proxied_call_room.cpp
@@ -85,15 +85,14 @@
     if (standing_ == admission::standing::ample) {
         return unbound;
     }
-    telemetry::decided(
-        "room_claimed", request_id_,
-        {{"standing", std::string{to_string(standing_)}},
-         {"tried_ms", log_ms(time_tried_)},
-         {"limit_ms", caller_time_limit_ ? log_ms(*caller_time_limit_) : ""},
-         {"objective_ms", log_ms(route_->latency_objective_)},
-         {"priority", std::to_string(priority())},
-         {"taken", fmt::format("{:.2f}", seen.taken_)},
-         {"taken_age_ms", log_ms(http_task_.loop().now() - seen.seen_at_)}});
+    telemetry::decided("room_claimed", request_id_,
+                       {{"standing", std::string{to_string(standing_)}},
+                        {"tried_ms", log_ms(time_tried_)},
+                        {"limit_ms", caller_time_limit_ ? log_ms(*caller_time_limit_) : ""},
+                        {"objective_ms", log_ms(route_->latency_objective_)},
+                        {"priority", std::to_string(priority())},
+                        {"taken", fmt::format("{:.2f}", seen.taken_)},
+                        {"taken_age_ms", log_ms(http_task_.loop().now() - seen.seen_at_)}});
     return {slot_claim_of(standing_), objective_time(), route_->latency_objective_};
 }
 
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -29,8 +29,8 @@
 
 target_search::target_search(http_task& owner, service_state& service,
                              std::vector<routing::target_index> exclude, bool limited_allowed,
-                             std::uint32_t priority, const search_claim& claim,
-                             duration time_left, done_function done)
+                             std::uint32_t priority, const search_claim& claim, duration time_left,
+                             done_function done)
     : http_task_{owner},
       service_{service},
       tried_{exclude},
@@ -272,15 +272,14 @@
 
 std::optional<duration> target_search::objective_left() const
 {
-    return claim_.objective_time_
-               ? std::optional{*claim_.objective_time_ - http_task_.loop().now()}
-               : std::nullopt;
+    return claim_.objective_time_ ? std::optional{*claim_.objective_time_ - http_task_.loop().now()}
+                                  : std::nullopt;
 }
 
 std::optional<routing::placed_attempt> target_search::place() const
 {
     const time_point now = http_task_.loop().now();
-    for (const routing::placement_options& each : 
+    for (const routing::placement_options& each :
          routing::options_for(claim_.slot_, objective_left())) {
         if (const auto placed =
                 routing::place(service_.view_, probed_, each, now, http_task_.random())) {
@@ -293,7 +292,8 @@
 // Tells admission what this search has seen of the room at the targets.
 void target_search::note_room()
 {
-    const duration within = claim_.objective_ > duration::zero() ? claim_.objective_ : duration::max();
+    const duration within =
+        claim_.objective_ > duration::zero() ? claim_.objective_ : duration::max();
     const time_point now = http_task_.loop().now();
     admission::on_room_seen(service_.room_, probed_.size(),
                             routing::count_in_time(service_.view_, probed_, within, now), now);
--- a/src/http/target_search.hpp
+++ b/src/http/target_search.hpp
@@ -46,7 +46,8 @@
     // dropped the search.
     target_search(http_task& owner, service_state& service,
                   std::vector<routing::target_index> exclude, bool limited_allowed,
-                  std::uint32_t priority, const search_claim& claim, duration time_left, done_function done);
+                  std::uint32_t priority, const search_claim& claim, duration time_left,
+                  done_function done);
     ~target_search();
     target_search(const target_search&) = delete;
     target_search& operator=(const target_search&) = delete;
--- a/src/routing/slot_claim.hpp
+++ b/src/routing/slot_claim.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 // Which of the probed targets an attempt may be placed at, by what its caller may claim. While room
-// is short, requests wait at a target only if they are expected to be answered within the objective;
-// the others take free slots.
+// is short, requests wait at a target only if they are expected to be answered within the
+// objective; the others take free slots.
 
 #include "routing/placement.hpp"
 
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -128,8 +128,9 @@
             registry, "send_refusals_total", "Requests refused before they were sent, by cause.",
             "cause", admission::refusal_cause_names),
         register_counter_set<decltype(metrics::standings_)>(
-            registry, "room_claims_total", "Searches for a target, by what their callers may claim.",
-            "standing", admission::standing_names),
+            registry, "room_claims_total",
+            "Searches for a target, by what their callers may claim.", "standing",
+            admission::standing_names),
         gauge(registry, "suspects", "Requests known to have been in flight at a crash."),
         gauge(registry, "services_unreachable", "Services of which this host reaches no target."),
         register_counter_set<decltype(metrics::relayed_requests_)>(
--- a/tests/room_test.cpp
+++ b/tests/room_test.cpp
@@ -11,6 +11,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h> // last: it redefines new
@@ -181,9 +183,10 @@
                                             routing::usual_work(view)};
         const standing chosen =
             decides_ ? admission::standing_of(rooms_[host], claim, now_) : standing::ample;
-        const routing::slot_claim slot = chosen == standing::ample    ? routing::slot_claim::any
-                                         : chosen == standing::timely ? routing::slot_claim::in_time
-                                                                      : routing::slot_claim::free_slot;
+        const routing::slot_claim slot = chosen == standing::ample ? routing::slot_claim::any
+                                         : chosen == standing::timely
+                                             ? routing::slot_claim::in_time
+                                             : routing::slot_claim::free_slot;
         std::vector<routing::probed_target> all;
         for (const auto index : routing::probe_candidates(view, {}, 4, false, now_, random_)) {
             all.push_back(probe(index));
@@ -197,7 +200,8 @@
         admission::on_room_seen(rooms_[host], all.size(),
                                 routing::count_in_time(view, all, objective, now_), now_);
         if (!placed || placed->expected_ * 4 / 5 > limit - tried) {
-            refuse(one, admission::return_time(chosen, claim, routing::time_to_free_slot(view, all)));
+            refuse(one,
+                   admission::return_time(chosen, claim, routing::time_to_free_slot(view, all)));
             return;
         }
         after(2ms, [this, one, index = placed->target_] {
@@ -232,16 +236,16 @@
     void end(std::size_t index, const request& one)
     {
         target& at = targets_[index];
-        at.running_.erase(std::find_if(at.running_.begin(), at.running_.end(), [&](const auto& each) {
-            return each.began_ == one.began_;
-        }));
+        at.running_.erase(
+            std::find_if(at.running_.begin(), at.running_.end(),
+                         [&](const auto& each) { return each.began_ == one.began_; }));
         const duration taken = now_ + 16ms - one.began_;
         if (one.counts_ && taken <= limit) {
             ++result_.served_;
             if (taken <= objective) {
                 ++result_.in_time_;
-                ++result_.begun_in_time_[static_cast<std::size_t>(
-                    (one.began_ - start_ - 2s) / 500ms)];
+                ++result_
+                      .begun_in_time_[static_cast<std::size_t>((one.began_ - start_ - 2s) / 500ms)];
             }
         }
         start(index);
