--- a/src/admission/room.cpp
+++ b/src/admission/room.cpp
@@ -13,8 +13,8 @@
 // with a longer limit changes what is usual.
 constexpr double first_tries_min = 0.1;
 
-// Room is short while fewer than four in ten of the targets probed could answer in time: one search
-// of three probes in five then finds none.
+// Room is short while fewer than three in ten of the targets probed could answer in time: one
+// search of three probes in three then finds none.
 constexpr double taken_when_short = 0.7;
 
 // Probes after which what was seen before them counts for a third.
