--- a/src/admission/room.cpp
+++ b/src/admission/room.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <functional>
 
 namespace savoryscale::admission {
 
@@ -12,9 +13,9 @@
 // with a longer limit changes what is usual.
 constexpr double first_tries_min = 0.1;
 
-// Room is short while fewer than four in ten of the targets probed could answer in time: one search
-// of three probes in five then finds none.
-constexpr double taken_when_short = 0.6;
+// Room is short while fewer than three in ten of the targets probed could answer in time: one
+// search of three probes in three then finds none.
+constexpr double taken_when_short = 0.7;
 
 // Probes after which what was seen before them counts for a third.
 constexpr double probes_remembered = 12;
@@ -87,8 +88,8 @@
     if (request.tried_ + request.usual_work_ <= *request.objective_) {
         return standing::timely;
     }
-    const bool may_return = request.left_ && request.tried_ < scaled(request.tried_ + *request.left_,
-                                                                     closing_fraction);
+    const bool may_return =
+        request.left_ && request.tried_ < scaled(request.tried_ + *request.left_, closing_fraction);
     return may_return ? standing::overdue : standing::closing;
 }
 
