--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -72,6 +72,8 @@
         {id + ",", "", "s.json#/host/id", "is missing"},
         {R"("services")", R"("header_names": { "limit": "X-Limit" }, "services")",
          "s.json#/header_names", "names a \"limit\" that this host would not keep"},
+        {R"("services")", R"("header_names": { "warm_up": 5 }, "services")",
+         "s.json#/header_names/warm_up", "is not a string"},
         {id, id + "," + id, "s.json#/host/id", "appears twice in one object"},
         {id, id + R"(, "hosts_max": 0)", "s.json#/host/hosts_max", "is 0, out of range"},
         {id, id + R"(, "hosts_max": 1.5)", "s.json#/host/hosts_max", "is not an integer"},
