--- a/src/directory/directory_task_emptied.cpp
+++ b/src/directory/directory_task_emptied.cpp
@@ -100,9 +100,8 @@
         return;
     }
     if (auto list = list_after_page(feed_.emptied_, page.emptied_, now)) {
-        emptied_source_.peer_as_of_ =
-            std::max(emptied_source_.peer_as_of_.value_or(list->confirmed_at_),
-                     list->confirmed_at_);
+        emptied_source_.peer_as_of_ = std::max(
+            emptied_source_.peer_as_of_.value_or(list->confirmed_at_), list->confirmed_at_);
         apply_emptied(std::move(*list), client_.peer_name());
     }
 }
@@ -110,8 +109,8 @@
 void directory_task::apply_emptied(emptied_list list, const std::string& source)
 {
     const bool first = !feed_.emptied_;
-    const std::vector<std::string> before = first ? std::vector<std::string>{}
-                                                  : feed_.emptied_->names_;
+    const std::vector<std::string> before =
+        first ? std::vector<std::string>{} : feed_.emptied_->names_;
     const auto age = http::log_ms(loop_.now() - list.confirmed_at_);
     const std::uint64_t revision = list.revision_;
     if (!update_emptied(feed_, std::move(list))) {
--- a/src/directory/feed.hpp
+++ b/src/directory/feed.hpp
@@ -53,7 +53,8 @@
 // Records a new or changed suspicion. The one that changed longest ago makes room.
 void update_suspicion(feed&, const peer::fact&, time_point now);
 
-// Records the list of data centres to be emptied. Returns whether other names are known than before.
+// Records the list of data centres to be emptied. Returns whether other names are known than
+// before.
 bool update_emptied(feed&, emptied_list);
 
 // The store names another era: revisions of the last one mean nothing in it.
--- a/src/http/http_task_cold.cpp
+++ b/src/http/http_task_cold.cpp
@@ -10,9 +10,9 @@
 
 void http_task::set_cold(service_state& service, const routes::routed_service& named)
 {
-    routing::set_cold(service.view_, named.warm_up_,
-                      routing::cold_rate(config_.directory_->cold_, named.cold_per_second_,
-                                         grants_.parts()));
+    routing::set_cold(
+        service.view_, named.warm_up_,
+        routing::cold_rate(config_.directory_->cold_, named.cold_per_second_, grants_.parts()));
 }
 
 // Heeded only where the service names a rate for cold targets.
@@ -25,12 +25,11 @@
     }
     const auto left = read_warm_up(head, name);
     if (routing::on_warm_up_heard(service.view_.targets_[target], left, loop_.now())) {
-        telemetry::state_change(
-            "target_cold",
-            {{"service", service.config_.name_},
-             {"target", target_name(service, target)},
-             {"for_ms", log_ms(left.value_or(duration::zero()))},
-             {"per_second", std::to_string(service.view_.cold_per_second_)}});
+        telemetry::state_change("target_cold",
+                                {{"service", service.config_.name_},
+                                 {"target", target_name(service, target)},
+                                 {"for_ms", log_ms(left.value_or(duration::zero()))},
+                                 {"per_second", std::to_string(service.view_.cold_per_second_)}});
     }
 }
 
--- a/src/http/load_fields.hpp
+++ b/src/http/load_fields.hpp
@@ -32,8 +32,8 @@
 inline constexpr double limit_max = 1e6;
 limit_field read_limit(const answer_head& head, std::string_view field_name);
 
-// The time that a target stays cold, in whole milliseconds; none when the field is absent or is not a
-// number from 0 to an hour.
+// The time that a target stays cold, in whole milliseconds; none when the field is absent or is not
+// a number from 0 to an hour.
 std::optional<duration> read_warm_up(const answer_head& head, std::string_view field_name);
 
 // Reads a probe's JSON answer: {"in_flight": 2, "utilization": 0.5, "draining": false}, each member
--- a/src/http/target_search.cpp
+++ b/src/http/target_search.cpp
@@ -101,8 +101,8 @@
     if (!done_) {
         return;
     }
-    const bool excluded = limit_of(answered.target_) &&
-                          (asked_probed_ || is_denied(answered.target_));
+    const bool excluded =
+        limit_of(answered.target_) && (asked_probed_ || is_denied(answered.target_));
     if (usable && !excluded) {
         probed_.push_back(answered);
     }
--- a/src/routing/cold_targets.hpp
+++ b/src/routing/cold_targets.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-// Cold targets: for a time after its start, or when it says so, a target bears only a few requests a
-// second from all hosts together. Such a target is one with a limit that it did not name itself, so
-// that each request to it needs a grant; see limit_granter.hpp.
+// Cold targets: for a time after its start, or when it says so, a target bears only a few requests
+// a second from all hosts together. Such a target is one with a limit that it did not name itself,
+// so that each request to it needs a grant; see limit_granter.hpp.
 
 #include "base/clock.hpp"
 #include "settings/settings.hpp"
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -35,7 +35,7 @@
     bool hedge_ = true;
     bool has_target_list_ = false;
     std::vector<target_state> targets_;
-    std::vector<std::string> emptied_;  // data centres whose targets get no new attempt, sorted
+    std::vector<std::string> emptied_; // data centres whose targets get no new attempt, sorted
     std::vector<target_index> subset_; // listed targets in this host's subset, ascending
     std::string own_id_;               // id of this host; empty: no subsets
     std::size_t subset_max_ = 0; // subset size of a host that does not know hosts_; 0: all targets
--- a/tests/cold_targets_test.cpp
+++ b/tests/cold_targets_test.cpp
@@ -75,15 +75,18 @@
 
     duration random_delay(duration least, duration most)
     {
-        return least + duration{static_cast<std::int64_t>(routing_unit() *
-                                                          static_cast<double>((most - least).count()))};
+        return least + duration{static_cast<std::int64_t>(
+                           routing_unit() * static_cast<double>((most - least).count()))};
     }
 
-    double routing_unit() { return uniform_unit(random); }
+    double routing_unit()
+    {
+        return uniform_unit(random);
+    }
 
-    // Each host of `hosts` sends `per_second / hosts` requests a second for 6 s. Each request finds some of
-    // the cold targets free, as all probes of the same instant do, and asks the granters. Returns
-    // the arrivals by target.
+    // Each host of `hosts` sends `per_second / hosts` requests a second for 6 s. Each request finds
+    // some of the cold targets free, as all probes of the same instant do, and asks the granters.
+    // Returns the arrivals by target.
     std::vector<std::vector<time_point>> play(int hosts, int targets, double per_second,
                                               std::size_t granters_up)
     {
@@ -215,7 +218,8 @@
     CHECK(!limited(0));
 }
 
-// Warm targets are preferred while they have room; cold ones need a grant, and second sends none get.
+// Warm targets are preferred while they have room; cold ones need a grant, and second sends none
+// get.
 TEST(cold_targets, cold_target_is_chosen_only_with_a_grant)
 {
     routing::set_cold(view, 3s, 6);
--- a/tests/emptied_hosts_test.cpp
+++ b/tests/emptied_hosts_test.cpp
@@ -1,4 +1,5 @@
-// Hosts that follow the data centres to be emptied, over real sockets to a store, peers and targets.
+// Hosts that follow the data centres to be emptied, over real sockets to a store, peers and
+// targets.
 
 #include "support/running_routed_host.hpp"
 
