--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -118,7 +118,7 @@
     std::string key_ = "Authorization";
     std::string key_scheme_ = "Token";
     std::string organisation_; // sent to a target: the organisation whose caller sent the request
-    std::string warm_up_;      // in the response to a probe: milliseconds that the target stays cold
+    std::string warm_up_; // in the response to a probe: milliseconds that the target stays cold
     // Requests per second that a target takes from all hosts together. Used with a directory only.
     std::string limit_;
 };
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -137,8 +137,8 @@
             registry, "send_refusals_total", "Requests refused before they were sent, by cause.",
             "cause", admission::refusal_cause_names),
         register_counter_set<decltype(metrics::allotment_reports_)>(
-            registry, "allotment_reports_total",
-            "Reports of entry hosts on the use of allotments.", "direction", directions),
+            registry, "allotment_reports_total", "Reports of entry hosts on the use of allotments.",
+            "direction", directions),
         register_counter_set<decltype(metrics::standings_)>(
             registry, "room_claims_total",
             "Searches for a target, by what their callers may claim.", "standing",
