--- a/soak/world.py
+++ b/soak/world.py
@@ -105,7 +105,7 @@
     def __init__(self, port):
         self.port = port
         self.revision = 1
-        self.objects = {"config": {}, "servers": {}, "evacuations": {}}
+        self.objects = {"config": {}, "servers": {}, "evacuations": {}, "suspicions": {}}
         self.log = []
         self.compacted = 0  # changes up to this revision are dropped
         self.mode = ""  # "", "down", "silent", "slow"
@@ -176,9 +176,13 @@
                     await asyncio.sleep(0.05)
                 if self.mode == "slow":
                     await asyncio.sleep(0.25)
-                status, body = await self.answer(request[0].split()[1])
+                method, path, _ = request[0].split()
                 if self.mode == "down":
                     status, body = 503, {}
+                elif method == "GET":
+                    status, body = await self.answer(path)
+                else:
+                    status, body = await self.write(method, path, request[2])
                 writer.write(message(f"HTTP/1.1 {status} X", {"Store-Era": self.era},
                                      json.dumps(body).encode()))
                 await writer.drain()
@@ -187,12 +191,26 @@
         finally:
             writer.transport.abort()
 
+    async def write(self, method, path, body):
+        """Creates, replaces or removes an object of the hosts' own."""
+        kind, *named = path.partition("?")[0].split("/")[3:]
+        known = self.objects.setdefault(kind, {})
+        if method == "DELETE":
+            await self.remove(kind, named[0])
+            return 200, {}
+        given = json.loads(body)
+        name = named[0] if named else given["metadata"]["name"]
+        if (name in known) == (method == "POST"):
+            return (409, known[name]) if name in known else (404, {})
+        await self.put(kind, name, given["spec"])
+        return 200, known[name]
+
     async def answer(self, path):
         path, _, query = path.partition("?")
         kind = path.split("/")[3]
         parameters = dict(part.split("=", 1) for part in query.split("&")) if query else {}
         if "watch" not in parameters:
-            return 200, {"items": list(self.objects[kind].values()), "has_more": False,
+            return 200, {"items": list(self.objects.get(kind, {}).values()), "has_more": False,
                          "store_revision": self.revision}
         after, wait = int(parameters["watch"]), int(parameters["wait_ms"]) / 1000
         compacted, era = self.compacted, self.era
