Read what a deployment may lack from one table of the settings

Cause: the template of the settings named bounds and limits one by one, also those that only later deployments have. A filler that takes no absent value fails there; one that leaves them empty writes '"memory_mb": ,' for a deployment without a limit of memory, which no host reads.

--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -4,6 +4,8 @@
 #include "telemetry/admin_task.hpp"
 #include "telemetry/log.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -55,6 +57,29 @@
     }
 }
 
+// Logs the settings that differ between deployments, so that a log tells under which bounds its
+// host ran.
+void log_settings(const settings::settings& config)
+{
+    const settings::directory& followed = *config.directory_;
+    const auto text = [](double value) { return fmt::format("{}", value); };
+    telemetry::state_change("host_settings",
+                            {{"hosts_max", text(config.host_.hosts_max_)},
+                             {"memory_mb", text(config.host_.memory_mb_)},
+                             {"grace_s", text(config.listen_.grace_.count())},
+                             {"drain_s", text(followed.drain_.count())},
+                             {"evacuation_s", text(followed.evacuation_.count())},
+                             {"keys_age_max_s", text(followed.keys_age_max_.count())},
+                             {"allotment_window_s", text(followed.allotments_.window_.count())},
+                             {"allotment_overage", text(followed.allotments_.overage_)},
+                             {"allotment_slack", text(followed.allotments_.slack_)},
+                             {"cold_overage", text(followed.cold_.overage_)},
+                             {"cold_slack", text(followed.cold_.slack_)},
+                             {"retry_ratio", text(followed.retry_ratio_)},
+                             {"retry_slack", text(followed.retry_slack_)},
+                             {"probes_per_target", text(followed.probes_per_target_)}});
+}
+
 std::uint64_t random_seed()
 {
     std::random_device entropy;
@@ -93,6 +118,7 @@
     }
     loop_ = std::move(*loop);
     install_signal_handlers(loop_.get());
+    log_settings(config_);
     http_task_ =
         std::make_unique<http::http_task>(*loop_, config_, metrics_, seed_, http_task_events());
     directory_ = std::make_unique<directory::directory_task>(
--- a/src/settings/parse.cpp
+++ b/src/settings/parse.cpp
@@ -2,6 +2,7 @@
 
 #include "base/file.hpp"
 #include "routing/policy.hpp"
+#include "settings/deployment.hpp"
 #include "settings/json_node.hpp"
 #include "settings/tls_files.hpp"
 
@@ -431,7 +432,8 @@
                                   fmt::format("is {} bytes long", text.size()),
                                   fmt::format("keep it under {} bytes", max_text_bytes)});
     }
-    else if (const auto tree = parse_json(text, errors)) {
+    else if (auto tree = parse_json(text, errors)) {
+        apply_deployment(*tree);
         read(json_node{*tree, "", errors}, parsed, {});
     }
     if (!errors.errors_.empty()) {
