Tell other hosts what the store lists, not what this one keeps

What callers saw: nothing at once; a request reached a target 2,105 to 2,121 ms after the store had confirmed that it leaves (2,000 ms are allowed), so that the target may end while it runs it. Cause: a host that has been cut off from the store takes its cut for an outage of the store, keeps entries that are missing for 2.4 s, in which live targets would register again, and passed them on as if the store listed them. A host in touch that reads from it used them.

Change: pages say what the store lists, and how long their sender has been in contact with it. From that a host tells an outage from a cut of its own (directory/store_contact): a gap that another host's contact fills was a cut, and what is missing is gone. A host of the feed that is in doubt asks the others. Why it works: what a host keeps is now known to it alone, and it keeps nothing that a host in touch has seen go.

Ruled out: the bound of the feed's age (pages were 0.3 s old), answers of targets. Found on the way: a page sent while the desired state is still awaited after an outage told an old contact, so that readers dropped what had expired; the contact therefore travels by itself.

Evidence: directory_feed.a_target_that_leaves_once_... and ..._that_was_cut_off_alone_... failed before (over 2 s; 1 s allowed).

--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -202,7 +202,7 @@
     }
     set_store_active(store_needed);
     check_emptied_source(now);
-    client_.set_active(is_peer_needed(source_, now));
+    client_.set_active(is_peer_needed(source_, now) || is_gap_in_doubt());
     keeper_.set_reading(store_needed && source_.has_peers_, source_.is_configured_source_);
     const auto never = time_point::max();
     const time_point next = std::min(next_source_check(source_, now).value_or(never),
@@ -293,6 +293,7 @@
         set_store_era(feed_, era_.value_);
     }
     if (before != 0) {
+        on_data_lost(contact_);
         on_store_recovered(registry_, loop_.now());
     }
     if (events_.on_store_era_) {
@@ -316,8 +317,18 @@
     return page.targets_revision_ < feed_.targets_revision_;
 }
 
+// Returns why another peer is to be asked; empty: none is.
+std::string_view directory_task::on_page(const feed_page& page)
+{
+    on_peer_contact(page);
+    if (!apply_page(page)) {
+        return "the peer's data is older than the data of this host";
+    }
+    return is_gap_in_doubt() ? "the peer was not in contact with the store either" : "";
+}
+
 // Applies a peer's page unless this host already has newer data. Returns whether it was applied.
-bool directory_task::on_page(const feed_page& page)
+bool directory_task::apply_page(const feed_page& page)
 {
     if (is_older(page) || page.version_ < version_ || (!targets_listed_ && !page.complete_)) {
         return false;
@@ -473,9 +484,9 @@
 {
     const time_point now = loop_.now();
     update_store_as_of();
-    if (update.outage_duration_ && *update.outage_duration_ >= outage_min) {
-        on_store_recovered(registry_, now);
-    }
+    const bool after_outage = update.outage_duration_ && *update.outage_duration_ >= outage_min;
+    on_store_contact(
+        {after_outage || !contact_.current_ ? now : contact_.current_->confirmed_at_, now});
     if (update.complete_) {
         apply_target_list(update.objects_, now);
     }
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -13,6 +13,7 @@
 #include "directory/host_table.hpp"
 #include "directory/registry.hpp"
 #include "directory/source.hpp"
+#include "directory/store_contact.hpp"
 #include "directory/store_era.hpp"
 #include "directory/suspicion_keeper.hpp"
 #include "http/connection_pool.hpp"
@@ -24,6 +25,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace savoryscale::http {
@@ -95,7 +97,11 @@
                              std::uint64_t revision);
     void on_targets(const follow_update& update);
     void apply_target_list(const std::vector<stored_object>& objects, time_point now);
-    bool on_page(const feed_page& page);
+    std::string_view on_page(const feed_page& page);
+    bool apply_page(const feed_page& page);
+    void on_peer_contact(const feed_page& page);
+    void on_store_contact(const contact_span& span);
+    [[nodiscard]] bool is_gap_in_doubt() const;
     void receive_suspicions(const std::vector<peer::fact>& suspicions);
     void apply_page_targets(const feed_page& page, time_point now);
     void update_store_as_of();
@@ -143,6 +149,7 @@
     bool receiving_suspicions_ = false; // on_suspicions_ is being called
     feed feed_;
     source_state source_;
+    store_contact contact_;
     emptied_source emptied_source_;
     http::timer_id emptied_timer_ = 0;
     feed_position position_;                     // in the feed of the peer that responded last
--- a/src/directory/directory_task_targets.cpp
+++ b/src/directory/directory_task_targets.cpp
@@ -55,7 +55,7 @@
 
 void directory_task::publish_target_changes()
 {
-    constexpr std::array<std::string_view, 3> changes{"joined", "leaving", "gone"};
+    constexpr std::array<std::string_view, 4> changes{"joined", "leaving", "missing", "gone"};
     for (const target_event& event : std::exchange(registry_.pending_events_, {})) {
         const settings::endpoint& address = event.entry_.address_;
         telemetry::state_change(
@@ -97,6 +97,7 @@
         expiry_timer_ = loop_.at(*next, [this] {
             expiry_timer_ = 0;
             expire_missing_targets();
+            check_sources();
         });
     }
 }
--- a/src/directory/feed.cpp
+++ b/src/directory/feed.cpp
@@ -35,14 +35,21 @@
 bool update_targets(feed& known, const registry& all, time_point now)
 {
     const std::uint64_t before = known.sequence_;
+    const auto is_listed = [&all](const std::string& id) {
+        const auto entry = all.entries_.find(id);
+        return entry != all.entries_.end() && !entry->second.missing_since_;
+    };
     for (auto& [id, item] : known.items_) {
-        if (!item.gone_ && all.entries_.find(id) == all.entries_.end()) {
+        if (!item.gone_ && !is_listed(id)) {
             item.gone_ = true;
             item.sequence_ = ++known.sequence_;
             ++known.gone_count_;
         }
     }
     for (const auto& [id, entry] : all.entries_) {
+        if (entry.missing_since_) {
+            continue;
+        }
         feed_item& item = known.items_[id];
         const bool same = item.sequence_ > 0 && !item.gone_ && item.entry_ == entry.entry_ &&
                           item.incarnation_ == entry.incarnation_;
@@ -108,6 +115,9 @@
     page.sequence_ = known.sequence_;
     page.complete_ = reader.epoch_ != known.epoch_;
     page.age_ = now - as_of;
+    if (known.contact_) {
+        page.contact_ = {now - known.contact_->begun_, now - known.contact_->confirmed_at_};
+    }
     page.store_era_ = known.store_era_;
     page.targets_revision_ = known.targets_revision_;
     page.configuration_revision_ = known.configuration_revision_;
--- a/src/directory/feed.hpp
+++ b/src/directory/feed.hpp
@@ -6,6 +6,7 @@
 #include "base/clock.hpp"
 #include "directory/emptied.hpp"
 #include "directory/feed_page.hpp"
+#include "directory/store_contact.hpp"
 
 #include <cstdint>
 #include <map>
@@ -45,9 +46,11 @@
     std::uint64_t targets_revision_ = 0;
     std::uint64_t configuration_revision_ = 0;
     std::optional<emptied_list> emptied_; // none: not known, or not followed
+    std::optional<contact_span> contact_; // of this host with the store
 };
 
-// Records the changes among the targets. Returns whether there are any.
+// Records the changes among the targets. Returns whether there are any. Those that the store does
+// not list count as gone: each reader decides itself whether to keep them.
 bool update_targets(feed&, const registry&, time_point now);
 
 // Records a new or changed suspicion. The one that changed longest ago makes room.
--- a/src/directory/feed_client.cpp
+++ b/src/directory/feed_client.cpp
@@ -130,8 +130,8 @@
         fail(to_string(page.error()));
         return;
     }
-    if (!events_.on_page_(*page)) {
-        fail("the peer's data is older than the data of this host");
+    if (const std::string_view why = events_.on_page_(*page); !why.empty()) {
+        fail(std::string{why});
         return;
     }
     failures_ = 0;
--- a/src/directory/feed_client.hpp
+++ b/src/directory/feed_client.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace savoryscale::http {
@@ -26,8 +27,9 @@
 namespace savoryscale::directory {
 
 struct feed_client_events {
-    std::function<bool(const feed_page&)> on_page_; // false: this host has newer data
-    std::function<feed_position()> position_;       // of this host's data, in the peer's feed
+    // Returns why another peer is to be asked; empty: none is.
+    std::function<std::string_view(const feed_page&)> on_page_;
+    std::function<feed_position()> position_; // of this host's data, in the peer's feed
     std::function<std::optional<announced_host>()> announced_host_; // what this host says of itself
     std::function<void()> on_lost_; // on the first of consecutive failures
 };
--- a/src/directory/feed_page.hpp
+++ b/src/directory/feed_page.hpp
@@ -28,11 +28,20 @@
     friend bool operator==(const emptied_data_centres&, const emptied_data_centres&) = default;
 };
 
+// A span of contact with the store (directory/store_contact.hpp), in time before the page is sent.
+struct contact_ago {
+    duration begun_{};
+    duration confirmed_{};
+
+    friend bool operator==(const contact_ago&, const contact_ago&) = default;
+};
+
 struct feed_page {
     std::uint64_t epoch_ = 0;            // of the sender; sequences are valid within one epoch only
     std::uint64_t sequence_ = 0;         // position to continue from
     bool complete_ = false;              // targets_ is the complete list
     duration age_{};                     // time since the store confirmed this data
+    std::optional<contact_ago> contact_; // of the sender with the store; none: not told
     std::uint64_t store_era_ = 0;        // in which the revisions count; 0: not known
     std::uint64_t targets_revision_ = 0; // store revision up to which targets are known
     std::uint64_t configuration_revision_ = 0;  // the same for the desired state
--- a/src/directory/registry.cpp
+++ b/src/directory/registry.cpp
@@ -38,6 +38,7 @@
     }
     if (!position->second.missing_since_) {
         position->second.missing_since_ = *all.store_recovered_at_;
+        all.pending_events_.push_back({position->second.entry_, target_change::missing});
     }
     return std::next(position);
 }
@@ -110,6 +111,20 @@
     all.store_recovered_at_ = now;
 }
 
+void on_outage_disproved(registry& all)
+{
+    all.store_recovered_at_.reset();
+    for (auto at = all.entries_.begin(); at != all.entries_.end();) {
+        at = at->second.missing_since_ ? erase_entry(all, at) : std::next(at);
+    }
+}
+
+bool has_missing(const registry& all)
+{
+    return std::any_of(all.entries_.begin(), all.entries_.end(),
+                       [](const auto& item) { return item.second.missing_since_.has_value(); });
+}
+
 std::optional<time_point> expire(registry& all, time_point now)
 {
     std::optional<time_point> next;
--- a/src/directory/registry.hpp
+++ b/src/directory/registry.hpp
@@ -4,7 +4,8 @@
 // server, even at a known address; only the latest entry at an address is used.
 //
 // During a store outage, entries expire although their targets still run. Entries that are missing
-// when the store recovers are kept for recovery_grace, in which live targets register again.
+// when the store recovers are kept for recovery_grace, in which live targets register again. Only
+// this host uses them meanwhile: what it tells other hosts is what the store lists.
 
 #include "base/clock.hpp"
 #include "directory/target_entry.hpp"
@@ -30,7 +31,7 @@
     std::optional<time_point> missing_since_;
 };
 
-enum class target_change : std::uint8_t { joined, leaving, gone };
+enum class target_change : std::uint8_t { joined, leaving, missing, gone };
 
 // A change of one target, for the log.
 struct target_event {
@@ -56,6 +57,12 @@
 // The store responds again after an outage.
 void on_store_recovered(registry&, time_point now);
 
+// The store was not away, only this host was cut off from it: missing entries are gone.
+void on_outage_disproved(registry&);
+
+// Whether any entry is kept although the store does not list it.
+bool has_missing(const registry&);
+
 // Erases missing entries whose grace is over. Returns when to call again; none if none is missing.
 std::optional<time_point> expire(registry&, time_point now);
 
--- a/src/peer/feed_wire.cpp
+++ b/src/peer/feed_wire.cpp
@@ -143,6 +143,10 @@
     out.set_sequence(page.sequence_);
     out.set_whole(page.complete_);
     out.set_age_ms(clamped_ms(page.age_));
+    if (page.contact_) {
+        out.mutable_contact()->set_begun_ms(clamped_ms(page.contact_->begun_));
+        out.mutable_contact()->set_confirmed_ms(clamped_ms(page.contact_->confirmed_));
+    }
     out.set_store_era(page.store_era_);
     out.set_targets_revision(page.targets_revision_);
     out.set_configuration_revision(page.configuration_revision_);
@@ -193,6 +197,10 @@
     page.complete_ = in.whole();
     page.store_era_ = in.store_era();
     page.age_ = milliseconds{in.age_ms()};
+    if (in.has_contact() && in.contact().begun_ms() >= in.contact().confirmed_ms()) {
+        page.contact_ = {std::min(milliseconds{in.contact().begun_ms()}, time_max),
+                         std::min(milliseconds{in.contact().confirmed_ms()}, time_max)};
+    }
     page.targets_revision_ = in.targets_revision();
     page.configuration_revision_ = in.configuration_revision();
     page.version_ = in.version();
--- a/tests/directory_feed_test.cpp
+++ b/tests/directory_feed_test.cpp
@@ -1,10 +1,13 @@
 // Entry hosts that get directory data from each other instead of the store, over real sockets.
 
+#include "support/relay.hpp"
 #include "support/running_routed_host.hpp"
 
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
 #include <optional>
+#include <thread>
 #include <vector>
 
 using namespace savoryscale;
@@ -12,6 +15,8 @@
 
 namespace {
 
+constexpr std::chrono::seconds drain{1};
+
 // Settings of a host that serves peers and requests data from the peers at `ports`.
 settings::settings feed_settings(std::uint16_t store_port, const std::vector<std::uint16_t>& ports,
                                  double drain_s = 1)
@@ -112,3 +117,67 @@
     std::this_thread::sleep_for(std::chrono::milliseconds{300});
     CHECK(reading_host.reaches(10, 1));
 }
+
+// An entry may have expired while the store was away, or its target has left. Only the host that
+// missed the store may wait to see which; its readers did not miss it.
+TEST(directory_feed,
+     a_target_that_leaves_once_its_host_regains_the_store_leaves_the_readers_in_time)
+{
+    tests::relay path{store.port()};
+    running_routed_host serving_host{feed_settings(path.port(), {})};
+    running_routed_host reading_host{feed_settings(store.port(), {serving_host.feed_port()})};
+    CHECK(reading_host.reaches(1, 1));
+    path.set_cut(tests::path_cut::reset);
+    std::this_thread::sleep_for(std::chrono::seconds{3});
+    path.set_cut(tests::path_cut::none);
+    store.put("servers", "i-2", server_json(1002));
+    CHECK(serving_host.reaches(1, 2));
+    CHECK(reading_host.reaches(1, 2));
+    store.remove("servers", "i-1");
+    const auto removed_at = std::chrono::steady_clock::now();
+    CHECK(reading_host.reaches(1, 1));
+    CHECK(std::chrono::steady_clock::now() - removed_at < drain);
+}
+
+TEST(directory_feed, a_host_that_was_cut_off_alone_keeps_no_target_that_left)
+{
+    running_routed_host other_host{feed_settings(store.port(), {})};
+    tests::relay path{store.port()};
+    tests::relay peer_path{other_host.feed_port()};
+    running_routed_host cut_host{feed_settings(path.port(), {peer_path.port()})};
+    running_routed_host reading_host{feed_settings(other_store.port(), {cut_host.feed_port()})};
+    CHECK(reading_host.reaches(1, 1));
+    for (tests::relay* each : {&path, &peer_path}) {
+        each->set_cut(tests::path_cut::reset);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds{4});
+    for (tests::relay* each : {&path, &peer_path}) {
+        each->set_cut(tests::path_cut::none);
+    }
+    store.put("servers", "i-2", server_json(1002));
+    CHECK(cut_host.reaches(1, 2));
+    store.remove("servers", "i-1");
+    const auto removed_at = std::chrono::steady_clock::now();
+    CHECK(cut_host.reaches(1, 1));
+    CHECK(std::chrono::steady_clock::now() - removed_at < drain);
+}
+
+// The readers learn of the outage from the feed and keep the entries that expired in it.
+TEST(directory_feed, readers_keep_entries_that_expired_while_the_store_was_away)
+{
+    running_routed_host serving_host{feed_settings(store.port(), {})};
+    running_routed_host reading_host{feed_settings(other_store.port(), {serving_host.feed_port()})};
+    CHECK(reading_host.reaches(1, 1));
+    store.set_unavailable(true);
+    std::this_thread::sleep_for(std::chrono::seconds{4});
+    store.remove("servers", "i-1");
+    publish(2);
+    store.set_unavailable(false);
+    CHECK(serving_host.reaches(2, 1));
+    CHECK(reading_host.reaches(2, 1));
+    store.put("servers", "i-1", server_json(1001));
+    std::this_thread::sleep_for(std::chrono::seconds{3});
+    CHECK(reading_host.reaches(2, 1));
+    store.remove("servers", "i-1");
+    CHECK(reading_host.reaches(2, 0));
+}
--- a/tests/feed_test.cpp
+++ b/tests/feed_test.cpp
@@ -114,6 +114,23 @@
     LONGS_EQUAL(1, late.known_.entries_.size());
 }
 
+// A host that missed the store for a while keeps what is missing; its readers may not have missed
+// it.
+TEST(feed, an_entry_that_a_host_keeps_is_gone_for_its_readers_until_it_is_listed_again)
+{
+    set_target("a", "10.0.0.1");
+    send_page();
+    directory::on_store_recovered(all, now);
+    directory::on_removed(all, "a", now);
+    CHECK(directory::has_missing(all));
+    directory::update_targets(source_feed, all, now);
+    send_page();
+    LONGS_EQUAL(0, other.known_.entries_.count("a"));
+    set_target("a", "10.0.0.1");
+    send_page();
+    LONGS_EQUAL(1, other.known_.entries_.count("a"));
+}
+
 TEST(feed, reader_from_earlier_epoch_gets_complete_list)
 {
     set_target("a", "10.0.0.1");
@@ -264,3 +281,17 @@
     const auto odd = peer::read_feed_page(peer::write_feed_page(page));
     CHECK(odd.has_value() && !odd->emptied_);
 }
+
+// An earlier release tells none, and an odd one says nothing.
+TEST(feed, a_page_tells_how_long_its_sender_was_in_contact_with_the_store)
+{
+    feed_page page;
+    page.epoch_ = 1;
+    CHECK(!peer::read_feed_page(peer::write_feed_page(page))->contact_);
+    for (const duration confirmed : {0ms, 400ms}) {
+        page.contact_ = directory::contact_ago{9s, confirmed};
+        CHECK(peer::read_feed_page(peer::write_feed_page(page))->contact_ == page.contact_);
+    }
+    page.contact_ = directory::contact_ago{1s, 2s};
+    CHECK(!peer::read_feed_page(peer::write_feed_page(page))->contact_);
+}
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -130,3 +130,15 @@
     directory::on_entry(all, entry("i-1", "10.0.0.1"));
     CHECK(all.changed_services_.empty());
 }
+
+TEST(registry, missing_entries_are_gone_once_the_outage_is_disproved)
+{
+    list({entry("i-1", "10.0.0.1"), entry("i-2", "10.0.0.2")});
+    directory::on_store_recovered(all, now);
+    directory::on_removed(all, "i-1", now);
+    LONGS_EQUAL(2, usable());
+    directory::on_outage_disproved(all);
+    LONGS_EQUAL(1, usable());
+    directory::on_removed(all, "i-2", now);
+    LONGS_EQUAL(0, usable());
+}
