Do not apply an answer of the store that another host has overtaken

A target that has left can be used again for one more call to the store, 1.2 s in the test where 1 s is allowed. Cause: a list replaces all that is known, also what another host has told of a later revision while the store was slow to send the list. Change: such an answer is left out; what it lacks comes with the next one. An earlier revision in the answer to a later call is applied as before, since the store itself says so.

--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -292,6 +292,7 @@
     if (feed_.store_era_ != era_.value_) {
         set_store_era(feed_, era_.value_);
     }
+    told_ = {};
     if (before != 0) {
         on_data_lost(contact_);
         on_store_recovered(registry_, loop_.now());
@@ -350,6 +351,9 @@
     }
     feed_.configuration_revision_ =
         std::max(feed_.configuration_revision_, page.configuration_revision_);
+    if (page.targets_revision_ > told_.revision_) {
+        told_ = {page.targets_revision_, now};
+    }
     feed_.targets_revision_ = page.targets_revision_;
     feed_.store_era_ = page.store_era_;
     const bool peer_started = position_.epoch_ != page.epoch_;
@@ -487,14 +491,7 @@
     const bool after_outage = update.outage_duration_ && *update.outage_duration_ >= outage_min;
     on_store_contact(
         {after_outage || !contact_.current_ ? now : contact_.current_->confirmed_at_, now});
-    if (update.complete_) {
-        apply_target_list(update.objects_, now);
-    }
-    else {
-        for (const stored_object& changed : update.objects_) {
-            apply_target_entry(changed, now);
-        }
-    }
+    apply_target_update(update, now);
     feed_.targets_revision_ = std::max(feed_.targets_revision_, targets_.revision());
     // While the store may be unavailable, only targets are requested, until it responds.
     if (targets_.is_running() && !configuration_.is_running()) {
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -96,6 +96,7 @@
     bool apply_desired_state(const nlohmann::json& value, std::string document,
                              std::uint64_t revision);
     void on_targets(const follow_update& update);
+    void apply_target_update(const follow_update& update, time_point now);
     void apply_target_list(const std::vector<stored_object>& objects, time_point now);
     std::string_view on_page(const feed_page& page);
     bool apply_page(const feed_page& page);
@@ -150,6 +151,7 @@
     feed feed_;
     source_state source_;
     store_contact contact_;
+    known_revision told_; // of the targets, by peers
     emptied_source emptied_source_;
     http::timer_id emptied_timer_ = 0;
     feed_position position_;                     // in the feed of the peer that responded last
--- a/src/directory/directory_task_targets.cpp
+++ b/src/directory/directory_task_targets.cpp
@@ -11,6 +11,25 @@
 
 namespace savoryscale::directory {
 
+// What an overtaken answer lacks comes with the next one; applied, it would undo newer changes
+// until then.
+void directory_task::apply_target_update(const follow_update& update, time_point now)
+{
+    if (is_overtaken(targets_.answered(), told_)) {
+        telemetry::state_change("store_answer_overtaken",
+                                {{"revision", std::to_string(targets_.revision())},
+                                 {"told", std::to_string(told_.revision_)}});
+        return;
+    }
+    if (update.complete_) {
+        apply_target_list(update.objects_, now);
+        return;
+    }
+    for (const stored_object& changed : update.objects_) {
+        apply_target_entry(changed, now);
+    }
+}
+
 void directory_task::apply_target_list(const std::vector<stored_object>& objects, time_point now)
 {
     targets_listed_ = true;
--- a/src/directory/follow.cpp
+++ b/src/directory/follow.cpp
@@ -149,6 +149,11 @@
     return update;
 }
 
+bool is_overtaken(const known_revision& answered, const known_revision& told)
+{
+    return answered.revision_ < told.revision_ && answered.since_ <= told.since_;
+}
+
 void on_history_gone(follow_state& state, time_point now)
 {
     state.listed_ = false;
--- a/src/directory/follow.hpp
+++ b/src/directory/follow.hpp
@@ -77,6 +77,16 @@
 follow_update on_list_page(follow_state&, list_page page, time_point now);
 follow_update on_changes(follow_state&, change_page page, time_point now);
 
+// What a source says, and since when: the answer to a call by when the call began, another host's
+// word by when it came.
+struct known_revision {
+    std::uint64_t revision_ = 0;
+    time_point since_{};
+};
+
+// Whether the answer lacks changes of which another host has told while the call was in progress.
+bool is_overtaken(const known_revision& answered, const known_revision& told);
+
 // The store no longer has the history after the watched revision: the list is read again.
 void on_history_gone(follow_state&, time_point now);
 
--- a/src/directory/follower.cpp
+++ b/src/directory/follower.cpp
@@ -118,6 +118,9 @@
 {
     call_began_ = loop_.now();
     const follow_call next = next_call(state_, call_began_);
+    if (next.after_.empty()) {
+        answer_began_ = call_began_;
+    }
     auto started = std::make_unique<http::buffered_exchange>(
         loop_,
         fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", dialect_.call_path_(kind_, next),
--- a/src/directory/follower.hpp
+++ b/src/directory/follower.hpp
@@ -69,6 +69,9 @@
     // The store revision up to which all changes are known.
     [[nodiscard]] std::uint64_t revision() const { return state_.revision_; }
 
+    // The revision, and when the call began whose answer named it; of a list, its first call.
+    [[nodiscard]] known_revision answered() const { return {state_.revision_, answer_began_}; }
+
     // When the data was last up to date with the store; none before the first time.
     [[nodiscard]] std::optional<time_point> last_confirmed_at() const { return last_confirmed_at_; }
 
@@ -92,6 +95,7 @@
     follower_events events_;
     std::optional<time_point> last_confirmed_at_;
     time_point call_began_{};
+    time_point answer_began_{}; // the call, or of the pages of a list the first call
     bool running_ = false;
     std::unique_ptr<http::buffered_exchange> exchange_;
     http::timer_id timer_ = 0;
--- a/tests/directory_feed_test.cpp
+++ b/tests/directory_feed_test.cpp
@@ -181,3 +181,30 @@
     store.remove("servers", "i-1");
     CHECK(reading_host.reaches(2, 0));
 }
+
+// A list that the store made before a target left arrives after another host has told of that.
+TEST(directory_feed, a_list_that_another_host_has_overtaken_brings_no_target_back)
+{
+    store.put("servers", "i-2", server_json(1002));
+    running_routed_host other_host{feed_settings(store.port(), {})};
+    tests::relay path{store.port()};
+    running_routed_host slow_host{feed_settings(path.port(), {other_host.feed_port()})};
+    running_routed_host reading_host{feed_settings(other_store.port(), {slow_host.feed_port()})};
+    CHECK(reading_host.reaches(1, 2));
+    path.set_cut(tests::path_cut::reset);
+    std::this_thread::sleep_for(std::chrono::seconds{1}); // it reads from the other host now
+    store.delay_lists(std::chrono::milliseconds{700});
+    const int lists = store.lists();
+    path.set_cut(tests::path_cut::none);
+    while (store.lists() == lists) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    store.remove("servers", "i-1");
+    CHECK(slow_host.reaches(1, 1));
+    for (int i = 0; i < 120; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        std::size_t targets = 0;
+        slow_host.run([&](http::http_task& task) { targets = task.target_count("ledger"); });
+        LONGS_EQUAL(1, targets);
+    }
+}
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -291,3 +291,13 @@
         CHECK_TEXT(!directory::read_store_era(text).has_value(), text);
     }
 }
+
+TEST(follow, an_answer_is_overtaken_by_what_another_host_tells_while_its_call_is_in_progress)
+{
+    const auto at = [](std::uint64_t revision, int second) {
+        return directory::known_revision{revision, time_point{} + std::chrono::seconds{second}};
+    };
+    CHECK(directory::is_overtaken(at(14, 100), at(15, 101)));
+    CHECK(!directory::is_overtaken(at(15, 100), at(15, 101)));
+    CHECK_TEXT(!directory::is_overtaken(at(14, 102), at(15, 101)), "a store that came back");
+}
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -69,6 +69,12 @@
         changed_.notify_all();
     }
 
+    // From now on lists of targets are sent this long after they were made.
+    void delay_lists(std::chrono::milliseconds delay) { list_delay_ = delay; }
+
+    // Lists of targets made so far.
+    [[nodiscard]] int lists() const { return lists_; }
+
     [[nodiscard]] int calls() const { return calls_; }
     [[nodiscard]] int writes() const { return writes_; }
 
@@ -156,6 +162,10 @@
                 connection.close();
                 return;
             }
+            if (watch == std::string::npos && kind == "servers") {
+                ++lists_;
+                std::this_thread::sleep_for(list_delay_.load());
+            }
             connection.send(is_unavailable() ? "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
                                              : ok_answer(body, era_field()));
         }
@@ -246,6 +256,8 @@
     bool unavailable_ = false;
     std::atomic<int> calls_ = 0;
     std::atomic<int> writes_ = 0;
+    std::atomic<int> lists_ = 0;
+    std::atomic<std::chrono::milliseconds> list_delay_{};
     std::uint64_t revision_ = 10;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
     std::vector<change> log_;
