Do not charge a slow caller to the target of its answer

What callers saw: on a route with a timeout, a long answer whose caller pauses for 250 ms ended at the timeout, though an answer that still moves has 300 ms more; and targets were counted as timed out that had been kept from sending, so that slow callers could get a sound target left out. Cause: progress was bytes from the target, or a moment at which the caller had read all; while reading from the target is paused there is neither. Change: an answer of which bytes wait for the caller has the whole extra time, and its end is not charged to the target (dispatch::overdue_answer).

Not run through another host: there it is the same code.

--- a/src/dispatch/call.cpp
+++ b/src/dispatch/call.cpp
@@ -225,8 +225,9 @@
 
 std::optional<duration> overdue_answer_may_go_on(const overdue_answer& answer)
 {
-    const duration left =
-        std::min(overdue_answer_max - answer.late_, answer_quiet_max - answer.quiet_);
+    const duration quiet_left =
+        answer.waits_for_caller_ ? duration::max() : answer_quiet_max - answer.quiet_;
+    const duration left = std::min(overdue_answer_max - answer.late_, quiet_left);
     return left > duration::zero() ? std::optional{left} : std::nullopt;
 }
 
--- a/src/dispatch/call.hpp
+++ b/src/dispatch/call.hpp
@@ -139,6 +139,8 @@
 struct overdue_answer {
     duration late_{};  // time since the deadline
     duration quiet_{}; // time since bytes of it arrived or were taken by the caller
+    // Bytes of it wait for the caller to read, so that the quiet is not the target's.
+    bool waits_for_caller_ = false;
 };
 
 // How long it may go on until this is asked again. None: it is to be ended now.
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -199,6 +199,7 @@
     bool request_ended_ = false;
     bool finished_ = false;
     bool deadline_reached_ = false;
+    bool waits_for_caller_ = false; // the overdue answer; see dispatch::overdue_answer
     bool limited_ = false; // the last search ended at the limits of targets
 };
 
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -294,10 +294,11 @@
     }
     std::exchange(attempt.connection_, nullptr)->abandon();
     const bool failed_answer = attempt.status_ >= status_server_error;
+    const bool late = deadline_reached_ && !waits_for_caller_;
     report_end(attempt,
-               failed_answer       ? routing::attempt_end::failed
-               : deadline_reached_ ? routing::attempt_end::timeout
-                                   : routing::attempt_end::abandoned,
+               failed_answer ? routing::attempt_end::failed
+               : late        ? routing::attempt_end::timeout
+                             : routing::attempt_end::abandoned,
                false);
 }
 
--- a/src/http/proxied_call_overdue.cpp
+++ b/src/http/proxied_call_overdue.cpp
@@ -15,8 +15,9 @@
         return;
     }
     const time_point now = http_task_.loop().now();
-    if (const auto more =
-            dispatch::overdue_answer_may_go_on({now - deadline_, now - progressed_at_})) {
+    waits_for_caller_ = caller_.queued() > 0;
+    if (const auto more = dispatch::overdue_answer_may_go_on(
+            {now - deadline_, now - progressed_at_, waits_for_caller_})) {
         deadline_timer_ = http_task_.loop().at(now + *more, [this] { check_overdue_answer(); });
         return;
     }
--- a/tests/call_deadline_test.cpp
+++ b/tests/call_deadline_test.cpp
@@ -37,6 +37,14 @@
     }
 }
 
+// The quiet of a target that the host does not read from says nothing; the bound stays.
+TEST(call_deadline, an_answer_that_waits_for_its_caller_ends_when_its_extra_time_is_over)
+{
+    const auto more = dispatch::overdue_answer_may_go_on({0ms, 10s, true});
+    CHECK(more && *more > 0ms && *more <= 400ms);
+    CHECK(!dispatch::overdue_answer_may_go_on({*more, 10s, true}));
+}
+
 TEST(call_deadline, an_overdue_answer_is_cut_and_its_attempt_cancelled_once)
 {
     dispatch::call state;
