End every request before a planned stop ends the process

What callers saw: in a stop with a grace of 6 s, requests that were whole 4.5 s or 5.0 s after the SIGTERM were passed on to targets that need 1.5 s and cut off at 5.8 s without an answer, also those that may not be repeated. Cause: the host ends itself 200 ms before the end of the grace, and nothing on the way of a request knew that time. Change: dispatch/stop_schedule. A request is sent, resent or hedged only if its answer is expected before the end (mean latency and four mean deviations), else refused as not run, also while its body is still on its way; a target is told no more time than the host has; what is not answered 100 ms before the end gets a 504, a head that is not whole a 408. Callers are accepted for half of the time to the end at most.

--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -164,9 +164,7 @@
         return;
     }
     if (stops > 1 || readiness_ == telemetry::readiness::stopping) {
-        telemetry::state_change("stop_forced", {}, telemetry::severity::warning);
-        stop_forced_ = true;
-        loop_->stop();
+        force_stop();
         return;
     }
     begin_stop();
@@ -177,15 +175,31 @@
     readiness_ = telemetry::readiness::stopping;
     telemetry::state_change("host_stopping", {{"host", config_.host_.id_},
                                               {"callers", std::to_string(http_task_->callers())}});
-    const auto grace = std::chrono::duration_cast<duration>(config_.listen_.grace_);
-    if (grace > forced_stop_margin) {
-        loop_->after(grace - forced_stop_margin, [this] {
-            telemetry::state_change("stop_forced", {}, telemetry::severity::warning);
-            stop_forced_ = true;
-            loop_->stop();
-        });
+    if (!has_stop_schedule()) {
+        http_task_->begin_stop();
+        return;
     }
-    http_task_->begin_stop();
+    const time_point ends_at = loop_->now() + grace() - forced_stop_margin;
+    loop_->at(ends_at, [this] { force_stop(); });
+    http_task_->begin_stop(ends_at);
+}
+
+void routed_host::force_stop()
+{
+    telemetry::state_change("stop_forced", {{"callers", std::to_string(http_task_->callers())}},
+                            telemetry::severity::warning);
+    stop_forced_ = true;
+    loop_->stop();
+}
+
+duration routed_host::grace() const
+{
+    return std::chrono::duration_cast<duration>(config_.listen_.grace_);
+}
+
+bool routed_host::has_stop_schedule() const
+{
+    return grace() > forced_stop_margin;
 }
 
 // Applies a changed list of feed hosts immediately. All other changes take effect at the next
--- a/src/cli/routed_host.hpp
+++ b/src/cli/routed_host.hpp
@@ -42,6 +42,9 @@
     http::page answer_page(std::string_view path) const;
     void on_wake();
     void begin_stop();
+    void force_stop();
+    [[nodiscard]] duration grace() const;
+    [[nodiscard]] bool has_stop_schedule() const; // the process ends when the grace is over
     void reload();
     void reread_settings();
     void update_readiness();
--- a/src/http/attempt_exchange.hpp
+++ b/src/http/attempt_exchange.hpp
@@ -46,6 +46,7 @@
     timer_id open_timer_ = 0;
     time_point started_{};
     time_point sent_{};
+    duration expected_{}; // latency, when its target was chosen; zero: unknown
     duration latency_{};
     std::optional<routing::load_report> load_;
     std::string request_id_;
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -225,9 +225,7 @@
         // The end of the target's connection delimited the body; this connection may stay open.
         head.chunked_ = true;
     }
-    if (!reader_.complete() || http_task_.is_stopping()) {
-        close_after_answer_ = true; // the rest of the request will not be read
-    }
+    close_after_answer_ = close_after_answer_ || is_last_answer();
     answer_chunked_ = head.chunked_ && !is_head_request_;
     if (stream_ != nullptr) {
         stream_->write(
@@ -253,9 +251,7 @@
 
 void caller_connection::answer_locally(local_answer answer)
 {
-    if (!reader_.complete() || http_task_.is_stopping()) {
-        close_after_answer_ = true;
-    }
+    close_after_answer_ = close_after_answer_ || is_last_answer();
     answer.close_ = close_after_answer_;
     answer.fractional_ = http_task_.config().listen_.fractional_retry_after_;
     if (stream_ != nullptr) {
@@ -264,6 +260,13 @@
     end_call();
 }
 
+// Whether the connection closes after the answer to the current request: the rest of the request
+// will not be read, or the host stops.
+bool caller_connection::is_last_answer() const
+{
+    return !reader_.complete() || http_task_.is_stopping();
+}
+
 // Ends the current call, then closes the connection or prepares for the next request.
 void caller_connection::end_call()
 {
@@ -335,6 +338,16 @@
     shorten_activity_deadline(first_request_time);
 }
 
+void caller_connection::on_host_stopping()
+{
+    if (call_ != nullptr) {
+        call_->on_host_stopping();
+    }
+    else if (http_task_.loop().now() >= answer_deadline(*http_task_.stop_schedule())) {
+        close_idle();
+    }
+}
+
 // A request may be in transit during the close. It will not run, so a 408 that says so is sent in
 // advance.
 void caller_connection::close_idle()
--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -71,6 +71,9 @@
     // may be in transit; a busy connection closes after its answer.
     void stop();
 
+    // Called now and then during a stop that ends the process: ends what would be cut off.
+    void on_host_stopping();
+
     // Whether a request is being read or answered.
     [[nodiscard]] bool is_busy() const;
 
@@ -88,6 +91,7 @@
     void set_activity_deadline(duration within);
     void shorten_activity_deadline(duration within);
     void on_activity_timer();
+    [[nodiscard]] bool is_last_answer() const;
     void close_idle();
     void close_gracefully();
 
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -27,6 +27,9 @@
 // take their turn among this host's own, whose connections are not limited by it.
 constexpr std::size_t relayed_calls_max = 64;
 constexpr duration stop_check_interval = 10ms;
+
+// Between checks of the requests in progress during a stop that ends the process.
+constexpr duration schedule_check_interval = 25ms;
 constexpr duration load_interval = 100ms; // between load reports to admission
 
 // Retry-After of a refusal for which no wait was computed: the minimum plus a random part.
@@ -412,23 +415,43 @@
         static_cast<double>(counted.retired_ + counted.poisoned_));
 }
 
-void http_task::begin_stop()
+void http_task::begin_stop(std::optional<time_point> ends_at)
 {
     if (std::exchange(stopping_, true)) {
         return;
     }
-    loop_.after(config_.listen_.stop_lag_, [this] { end_idle_callers(); });
+    duration accepting = config_.listen_.stop_lag_;
+    if (ends_at) {
+        stop_schedule_ = dispatch::stop_schedule{*ends_at};
+        accepting = dispatch::accepting_time(*stop_schedule_, accepting, loop_.now());
+        follow_stop_schedule();
+    }
+    loop_.after(accepting, [this] { end_idle_callers(); });
 }
 
-void http_task::end_idle_callers()
+void http_task::follow_stop_schedule()
+{
+    for (caller_connection* caller : all_callers()) {
+        caller->on_host_stopping();
+    }
+    loop_.after(schedule_check_interval, [this] { follow_stop_schedule(); });
+}
+
+std::vector<caller_connection*> http_task::all_callers() const
 {
-    stop_lag_over_ = true;
-    loop_.stop_listening();
     std::vector<caller_connection*> all;
-    for (auto& [caller, owned] : callers_) {
+    all.reserve(callers_.size());
+    for (const auto& [caller, owned] : callers_) {
         all.push_back(caller);
     }
-    for (caller_connection* caller : all) {
+    return all;
+}
+
+void http_task::end_idle_callers()
+{
+    stop_lag_over_ = true;
+    loop_.stop_listening();
+    for (caller_connection* caller : all_callers()) {
         caller->stop();
     }
     check_stopped();
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -11,6 +11,7 @@
 #include "base/mailbox.hpp"
 #include "base/random.hpp"
 #include "dispatch/call.hpp"
+#include "dispatch/stop_schedule.hpp"
 #include "http/allotment_reports.hpp"
 #include "http/event_loop.hpp"
 #include "http/limit_grants.hpp"
@@ -150,7 +151,7 @@
     // Stops gracefully: keeps accepting for stop_lag_, until the balancer in front has noticed, and
     // answers with Connection: close; then closes idle connections and waits for the busy ones.
     // on_stopped_ follows.
-    void begin_stop();
+    void begin_stop(std::optional<time_point> ends_at = std::nullopt);
 
     // Number of the service's targets that may take requests; 0 for an unknown service.
     [[nodiscard]] std::size_t target_count(std::string_view service);
@@ -162,6 +163,12 @@
     [[nodiscard]] event_loop& loop() { return loop_; }
     [[nodiscard]] const settings::settings& config() const { return config_; }
     [[nodiscard]] bool is_stopping() const { return stopping_; }
+
+    // When a planned stop ends the process; none: there is no such time.
+    [[nodiscard]] const std::optional<dispatch::stop_schedule>& stop_schedule() const
+    {
+        return stop_schedule_;
+    }
     [[nodiscard]] bool closes_idle_callers() const { return stop_lag_over_; }
     [[nodiscard]] random_source& random() { return random_; }
     [[nodiscard]] admission::quarantine& request_quarantine() { return quarantine_; }
@@ -280,6 +287,8 @@
     void relieve_memory();
     [[nodiscard]] std::vector<admission::holder> holders(std::vector<caller_connection*>& at) const;
     void end_idle_callers();
+    void follow_stop_schedule();
+    [[nodiscard]] std::vector<caller_connection*> all_callers() const;
     void check_stopped();
 
     event_loop& loop_;
@@ -318,6 +327,7 @@
     std::size_t relayed_calls_ = 0; // in progress, for other hosts
     std::size_t relayed_calls_total_ = 0;
     bool stopping_ = false;
+    std::optional<dispatch::stop_schedule> stop_schedule_;
     bool stop_lag_over_ = false;
 };
 
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -153,6 +153,10 @@
         return;
     }
     service_ = &http_task_.service_of(*route_);
+    if (is_too_late_to_send(nullptr)) {
+        refuse_as_stopping();
+        return;
+    }
     const auto verdict = http_task_.admit(customer_, *service_);
     if (trace_.sampled_) {
         telemetry::span admission_span = telemetry::child_span(
@@ -577,11 +581,6 @@
                         {"attempts", std::to_string(state_.attempt_count_)}});
 }
 
-duration proxied_call::time_left() const
-{
-    return deadline_ - http_task_.loop().now();
-}
-
 // Releases timers, the claim and the admission slot, and records the call's span. Idempotent.
 void proxied_call::finish()
 {
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -88,6 +88,9 @@
     // Refuses a request that is not dispatched, since the host is short of room.
     void refuse_for_room();
 
+    // Ends the call if the host would end before it is answered.
+    void on_host_stopping();
+
 private:
     friend class attempt_exchange;
 
@@ -138,6 +141,10 @@
     void forward_answer(attempt_exchange& attempt);
     void log_answer(const attempt_exchange& attempt) const;
     duration time_left() const;
+    duration expected_latency(const attempt_exchange* attempt) const;
+    bool is_too_late_to_send(const attempt_exchange* attempt) const;
+    bool drop_if_too_late(attempt_exchange& attempt);
+    void refuse_as_stopping();
     void log_refusal(int status, std::string_view why, std::optional<duration> retry_after) const;
     void send_request(attempt_exchange& attempt);
     void send_body_to(upstream_connection& connection, std::string_view bytes);
@@ -200,7 +207,7 @@
     bool finished_ = false;
     bool deadline_reached_ = false;
     bool waits_for_caller_ = false; // the overdue answer; see dispatch::overdue_answer
-    bool limited_ = false; // the last search ended at the limits of targets
+    bool limited_ = false;          // the last search ended at the limits of targets
 };
 
 } // namespace savoryscale::http
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -160,6 +160,7 @@
         connect_attempt(attempt, nullptr);
         return;
     }
+    attempt.expected_ = found.placed_->expected_;
     connect_attempt(attempt, acquire_connection(attempt, found.placed_->target_));
 }
 
@@ -219,6 +220,9 @@
 {
     const time_point now = http_task_.loop().now();
     http_task_.loop().cancel(std::exchange(attempt.open_timer_, 0));
+    if (drop_if_too_late(attempt)) {
+        return;
+    }
     if (const auto checked = check_caller_again(); !checked.is_passed()) {
         refuse_before_sending(checked);
         return;
@@ -233,7 +237,7 @@
     forwarded_fields added;
     added.traceparent_ = telemetry::outgoing_traceparent(trace_, attempt.span_);
     added.request_id_ = attempt.request_id_;
-    added.remaining_ = deadline_ - now;
+    added.remaining_ = time_left();
     added.allow_inner_retries_ = false;
     upstream_connection& connection = *attempt.connection_;
     added.expect_instance_ = attempt.instance_;
@@ -392,7 +396,7 @@
         admission::is_quarantined(http_task_.request_quarantine(), fingerprint_, now);
     // An attempt that was never sent put no load on an upstream, so retrying it needs no budget.
     const bool is_free = failure == dispatch::attempt_failure::unsent;
-    const bool granted = !suspect && now < deadline_ &&
+    const bool granted = !suspect && time_left() > duration::zero() &&
                          dispatch::wants_retry(state_, attempt.id_, failure) &&
                          (is_free || routing::take_retry(service_->view_, now));
     if (granted) {
--- a/src/http/proxied_call_relay.cpp
+++ b/src/http/proxied_call_relay.cpp
@@ -89,7 +89,7 @@
     attempt.connection_ = nullptr;
     report_end(attempt, routing::attempt_end::shed, false);
     const bool may_again = tried_relays_.size() < relays_max && state_.body_replayable_ &&
-                           http_task_.loop().now() < deadline_;
+                           time_left() > duration::zero();
     dispatch::on_attempt_returned(state_, attempt.id_);
     if (may_again) {
         begin_relay(attempt);
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -6,6 +6,7 @@
 #include "routing/subset.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace savoryscale::routing {
@@ -19,6 +20,8 @@
 constexpr double hedge_wait_min = 1.3; // minimum time for the first attempt, in mean latencies
 constexpr double latency_weight = 0.2;
 constexpr double mean_weight = 0.01; // of one sample in a moving average over all targets
+constexpr double first_deviation_fraction = 0.5; // of the first latency; nothing else is known
+constexpr double latency_deviations = 4;         // mean deviations that a latency rarely exceeds
 
 bool is_eligible(const target_state& target, std::span<const target_index> exclude,
                  target_index index)
@@ -142,6 +145,9 @@
     const auto ns = static_cast<double>(latency.count());
     // A plain mean until there are enough samples for a moving average.
     const double weight = std::max(mean_weight, 1.0 / ++view.latency_count_);
+    const double off = view.latency_count_ > 1 ? std::abs(ns - view.mean_latency_ns_)
+                                               : ns * first_deviation_fraction;
+    view.latency_deviation_ns_ += weight * (off - view.latency_deviation_ns_);
     view.mean_latency_ns_ += weight * (ns - view.mean_latency_ns_);
     target.latency_ns_ += latency_weight * (ns - target.latency_ns_);
     target.latency_at_ = now;
@@ -351,6 +357,17 @@
     return quantile(view.latencies_, hedge_quantile);
 }
 
+duration latency_bound(const service_view& view, duration expected, duration unknown)
+{
+    if (view.latency_count_ < 1) {
+        return std::max(expected, unknown);
+    }
+    const auto mean = duration{static_cast<std::int64_t>(view.mean_latency_ns_)};
+    const auto spread =
+        duration{static_cast<std::int64_t>(latency_deviations * view.latency_deviation_ns_)};
+    return (expected > duration::zero() ? expected : mean) + spread;
+}
+
 std::optional<duration> hedge_delay_for_objective(const service_view& view, duration objective)
 {
     if (!view.hedge_ || !has_extra(view.retries_, view.retries_.hedge_reserve_)) {
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -45,6 +45,7 @@
     report_pool reports_;                                         // for hot_cold
     double mean_others_in_flight_ = 0; // of other hosts, per target; moving average
     double mean_latency_ns_ = 0;       // moving average of answered attempts, all targets
+    double latency_deviation_ns_ = 0;  // from the mean, as a moving average
     double latency_count_ = 0;
     double mean_failure_ratio_ = 0; // moving average of attempts, all targets
     latency_histogram latencies_;
@@ -112,6 +113,10 @@
 // search: once the objective is missed, a lost answer is more likely than a slow one.
 std::optional<duration> hedge_delay_for_objective(const service_view&, duration objective);
 
+// The latency that an answer rarely exceeds. `expected`: at the target chosen; zero: the mean.
+// `unknown`: what to assume before the first answer of the service.
+duration latency_bound(const service_view&, duration expected, duration unknown);
+
 // Estimate of the service's calls in progress per slot, over all hosts; above 1 calls wait. Input
 // of admission's set_load. Zero when there is no target.
 double calls_per_slot(const service_view&);
