Answer requests that were sent ahead before a planned stop closes their connection

What callers saw: of six requests sent ahead on one connection 0.2 s before a SIGTERM, one was answered; then the connection was closed, and five that the process had read got nothing, though they had not run. Cause: a stopping host closes each connection after the answer in progress. Change: the answer that closes the connection is the one after which nothing more has been read; those before it are served in their order, or refused as not run once they cannot be answered before the end.

Evidence: planned_stop.requests_that_were_sent_ahead_are_all_answered failed before (the second answer was missing) and passes now.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -196,7 +196,7 @@
     awaits_drain_ = false;
     activity_deadline_ = time_point::max();
     is_head_request_ = head.method_ == "HEAD";
-    close_after_answer_ = !head.keep_alive_ || http_task_.is_stopping();
+    close_after_answer_ = !head.keep_alive_;
     call_ = std::make_unique<proxied_call>(http_task_, *this, std::move(head));
     call_->start();
 }
@@ -261,10 +261,10 @@
 }
 
 // Whether the connection closes after the answer to the current request: the rest of the request
-// will not be read, or the host stops.
+// will not be read, or the host stops and has read no further request.
 bool caller_connection::is_last_answer() const
 {
-    return !reader_.complete() || http_task_.is_stopping();
+    return !reader_.complete() || (http_task_.is_stopping() && reader_.pending_bytes() == 0);
 }
 
 // Ends the current call, then closes the connection or prepares for the next request.
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -1,5 +1,5 @@
 // Requests that come late in a planned stop that ends the process (operators' report: they were
-// passed on and then cut off without an answer).
+// passed on and then cut off without an answer), and requests that were sent ahead.
 
 #include "support/running_routed_host.hpp"
 
@@ -195,3 +195,31 @@
     CHECK(since_stop() > grace - 300ms);
     CHECK(since_stop() < grace);
 }
+
+// What the host has read whole is answered, and the last answer says that the connection closes.
+TEST(planned_stop, requests_that_were_sent_ahead_are_all_answered)
+{
+    slow_target target;
+    running_routed_host host{host_settings(target.port())};
+    warm_up(host);
+    test_client caller{host.port()};
+    std::string ahead;
+    for (int id = 11; id < 20; ++id) {
+        ahead += commit(id);
+    }
+    caller.send(ahead);
+    std::this_thread::sleep_for(50ms);
+    stop(host);
+    int served = 0;
+    for (int id = 11; id < 20; ++id) {
+        const std::string answer = caller.read_answer();
+        const bool done = answer.ends_with("done");
+        served += done ? 1 : 0;
+        CHECK(done || answer.starts_with("HTTP/1.1 503 "));
+        CHECK(!done || field_of(answer, "X-Id") == std::to_string(id));
+        CHECK_EQUAL(id == 19, field_of(answer, "Connection") == "close");
+    }
+    CHECK(since_stop() < grace);
+    CHECK(served >= 4);
+    CHECK(served < 9);
+}
