Let further signals change nothing in a stop that ends with the grace

What callers saw: with a second SIGTERM during the grace, every request in progress was cut off at once. Cause: a second signal meant that the operator can wait no longer. A platform that cannot wait kills the process, and the end of the grace is set. Change: where there is a grace, further signals are logged (stop_repeated) and change nothing; without one the second signal ends the host as before.

Evidence: planned_stop.further_signals_cut_nothing_off (SIGTERM twice, SIGHUP, SIGTERM, SIGINT within 100 ms) failed before: the request in progress got no answer. It passes now.

--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -163,11 +163,20 @@
     if (stops == 0) {
         return;
     }
-    if (stops > 1 || readiness_ == telemetry::readiness::stopping) {
-        force_stop();
+    const bool is_repeated = stops > 1 || readiness_ == telemetry::readiness::stopping;
+    if (readiness_ != telemetry::readiness::stopping) {
+        begin_stop();
+    }
+    if (!is_repeated) {
         return;
     }
-    begin_stop();
+    if (has_stop_schedule()) {
+        // The end is set already, and requests are in progress until then.
+        telemetry::state_change("stop_repeated", {});
+    }
+    else {
+        force_stop();
+    }
 }
 
 void routed_host::begin_stop()
--- a/src/cli/routed_host.hpp
+++ b/src/cli/routed_host.hpp
@@ -33,7 +33,8 @@
     result<void> start();
 
     // Runs until the stop is complete. Handles signals: the first SIGTERM or SIGINT starts a
-    // graceful stop, the second stops immediately. Returns whether the stop was graceful.
+    // graceful stop. Without a grace the second stops immediately; with one it changes nothing, as
+    // the end is set. Returns whether the stop was graceful.
     bool run(const std::string& settings_file);
 
 private:
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -1,12 +1,14 @@
 // Requests that come late in a planned stop that ends the process (operators' report: they were
 // passed on and then cut off without an answer), and requests that were sent ahead.
 
+#include "cli/routed_host.hpp"
 #include "support/running_routed_host.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <map>
 #include <mutex>
@@ -223,3 +225,44 @@
     CHECK(served >= 4);
     CHECK(served < 9);
 }
+
+// A port that nothing listens on.
+static std::uint16_t free_port()
+{
+    const fake_upstream taken{[](script_connection&, int) {}};
+    return taken.port();
+}
+
+// The platform, or an operator who is in a hurry, sends the signal again; a reload comes between.
+TEST(planned_stop, further_signals_cut_nothing_off)
+{
+    slow_target target;
+    settings::settings config = host_settings(target.port());
+    const std::uint16_t port = free_port();
+    config.listen_.address_ = {"127.0.0.1", port};
+    config.listen_.grace_ = settings::seconds{2};
+    config.ready_ = settings::readiness_listener{{"127.0.0.1", free_port()}, "/ready", "/metrics"};
+    cli::routed_host host{config, platform::dialect()};
+    CHECK(host.start().has_value());
+    bool graceful = false;
+    std::thread running{[&] { graceful = host.run(""); }};
+    std::string answer;
+    for (int i = 0; i < 100 && !answer.ends_with("done"); ++i) {
+        std::this_thread::sleep_for(10ms);
+        test_client first{port};
+        first.send(commit(1));
+        answer = first.read_answer();
+    }
+    test_client caller{port};
+    caller.send(commit(11));
+    std::this_thread::sleep_for(50ms);
+    for (const int signal : {SIGTERM, SIGTERM, SIGHUP, SIGTERM, SIGINT}) {
+        std::raise(signal);
+        std::this_thread::sleep_for(20ms);
+    }
+    answer = caller.read_answer();
+    caller.shut_down();
+    running.join();
+    CHECK(answer.ends_with("done"));
+    CHECK(graceful);
+}
