--- a/tests/cut_off_host_test.cpp
+++ b/tests/cut_off_host_test.cpp
@@ -51,6 +51,14 @@
                 connection.send(ok_answer("", "X-Load: 0,0,2,100\r\n"));
                 continue;
             }
+            if (const auto at = request.find("/stall/"); at != std::string::npos) {
+                const std::size_t sent = std::stoul(request.substr(at + 7));
+                connection.send(fmt::format(
+                    "HTTP/1.1 200 OK\r\nX-Id: {}\r\nX-Seal: s\r\nContent-Length: {}\r\n\r\n{}",
+                    field_of(request, "X-Id"), sent + 1, std::string(sent, 'p')));
+                connection.wait_for_close();
+                return;
+            }
             {
                 const std::lock_guard lock{mutex_};
                 repeated_ += runs_.count(field_of(request, "X-Id")) > 0 ? 1 : 0;
@@ -230,6 +238,24 @@
     LONGS_EQUAL(before, handed_on());
 }
 
+// Also a long one, which is forwarded as it arrives: its end is due by the caller's deadline.
+TEST(cut_off_host, an_answer_that_stops_ends_in_time_through_another_host)
+{
+    start(4);
+    cut(0, path_cut::reset);
+    call_for(0, 3s);
+    for (const char* path : {"/look/stall/10", "/look/stall/150000", "/sell/stall/150000"}) {
+        const auto before = handed_on();
+        const time_point began = monotonic_now();
+        const std::string answer = call(0, path, "");
+        const duration taken = monotonic_now() - began;
+        CHECK_TEXT(taken >= 990ms && taken < 1500ms, path);
+        CHECK_TEXT(answer.starts_with("HTTP/1.1 50") || answer.starts_with("HTTP/1.1 200 "), path);
+        CHECK_TEXT(!answer.starts_with("HTTP/1.1 200 ") || answer.size() < 150400, path);
+        CHECK_TEXT(handed_on() > before, path);
+    }
+}
+
 TEST(cut_off_host, callers_wait_where_no_host_reaches_a_target)
 {
     start(4);
