Keep the port of a test relay while it refuses connections

Cause: to refuse connections the relay closed its listener and so gave its port back. A server of a test that ran beside it could get the port, and its connections; the relay could not bind to it again, ignored that, and listened somewhere else: the path stayed cut for good. With a line at the failed bind, both failures of directory_feed_test in 3 further runs came with it. Ruled out: load alone, 64 runs of the test beside 8 busy processes stayed under 0.64 s. Change: a second socket stays bound to the port, and a failed bind throws.

--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -6,6 +6,9 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
+#include <string>
+#include <system_error>
 
 namespace savoryscale::tests {
 
@@ -29,26 +32,44 @@
            send(to, buffer.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
 }
 
+// A socket bound to the port of 127.0.0.1; 0: to a free one. Throws std::system_error if it is
+// taken.
+int bound_socket(std::uint16_t port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const int yes = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    const sockaddr_in address = loopback(port);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        const int reason = errno;
+        close(descriptor);
+        throw std::system_error{reason, std::generic_category(),
+                                "cannot bind to port " + std::to_string(port)};
+    }
+    return descriptor;
+}
+
+std::uint16_t port_of(int descriptor)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
 } // namespace
 
-relay::relay(std::uint16_t to_port) : to_port_{to_port}
+relay::relay(std::uint16_t to_port)
+    : reservation_{bound_socket(0)}, port_{port_of(reservation_)}, to_port_{to_port}
 {
     open_listener();
     thread_ = std::thread{[this] { run(); }};
 }
 
-// On a free port the first time, then on the same one.
 void relay::open_listener()
 {
-    listener_ = socket(AF_INET, SOCK_STREAM, 0);
-    const int yes = 1;
-    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-    sockaddr_in address = loopback(port_);
-    socklen_t size = sizeof address;
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    listener_ = bound_socket(port_);
     listen(listener_, 16);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
 }
 
 void relay::set_cut(path_cut cut)
@@ -81,6 +102,7 @@
         close(each.server_);
     }
     close(listener_);
+    close(reservation_);
 }
 
 void relay::silence_open_connections()
--- a/tests/support/relay.hpp
+++ b/tests/support/relay.hpp
@@ -50,7 +50,8 @@
     void accept_one();
     void open_listener();
 
-    int listener_ = -1;
+    int reservation_ = -1; // bound and never listening: no other process gets the port
+    int listener_ = -1;    // none while new connections are refused
     std::uint16_t port_ = 0;
     std::uint16_t to_port_ = 0;
     std::atomic<int> accepted_{0};
