Answer a write of the soak's store from what it wrote

Cause: the store looked up its answer to a write in a table that a restoration may have replaced, and took the kind of the object for known: KeyError, and the host lost its connection. Seen as a traceback in a run of the soak. Change: the write returns the object that it made. Result: soak_store_test (no network) failed before with that KeyError and passes.

--- a/soak/world.py
+++ b/soak/world.py
@@ -119,25 +119,26 @@
         self.server = await asyncio.start_server(self.serve, IP, self.port, backlog=256)
 
     async def put(self, kind, name, spec):
-        """Writes one object if it changed; waits while the store injects a fault."""
+        """Writes one object if it changed, and returns it; waits while the store injects a fault."""
         while self.mode:
             await asyncio.sleep(0.05)
         async with self.changed:
-            known = self.objects[kind].get(name)
+            known = self.objects.get(kind, {}).get(name)
             if known and known["spec"] == spec:
-                return
+                return known
             self.revision += 1
             created = known["metadata"]["created"] if known else self.revision
             entry = {"metadata": {"name": name, "revision": self.revision, "created": created},
                      "spec": spec}
             self.keep_copy()
-            self.objects[kind][name] = entry
+            self.objects.setdefault(kind, {})[name] = entry
             self.log.append((self.revision, kind, {"object": entry, "deleted": False}))
             self.changed.notify_all()
+            return entry
 
     async def remove(self, kind, name):
         async with self.changed:
-            if name in self.objects[kind]:
+            if name in self.objects.get(kind, {}):
                 self.keep_copy()
                 entry = self.objects[kind].pop(name)
                 self.revision += 1
@@ -194,7 +195,7 @@
     async def write(self, method, path, body):
         """Creates, replaces or removes an object of the hosts' own."""
         kind, *named = path.partition("?")[0].split("/")[3:]
-        known = self.objects.setdefault(kind, {})
+        known = self.objects.get(kind, {})
         if method == "DELETE":
             await self.remove(kind, named[0])
             return 200, {}
@@ -202,8 +203,7 @@
         name = named[0] if named else given["metadata"]["name"]
         if (name in known) == (method == "POST"):
             return (409, known[name]) if name in known else (404, {})
-        await self.put(kind, name, given["spec"])
-        return 200, known[name]
+        return 200, await self.put(kind, name, given["spec"])
 
     async def answer(self, path):
         path, _, query = path.partition("?")
--- /dev/null
+++ b/tests/soak_store_test.py
@@ -0,0 +1,44 @@
+#!/usr/bin/env python3
+"""The store of a soak run, without a network: a write answers with the object it made, also beside a restoration.
+
+    tests/soak_store_test.py
+"""
+
+import asyncio
+import json
+import pathlib
+import sys
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
+
+from world import Store  # noqa: E402
+
+KIND = "notes"
+PATH = f"/api/v1/{KIND}"
+
+
+async def write_beside_restoration(mode):
+    """Writes an object while the store is in this mode and comes back from a copy that lacks the object's kind."""
+    store = Store(0)
+    await store.put("config", "main", {"version": "r1"})
+    store.mode = mode
+    body = json.dumps({"metadata": {"name": "one"}, "spec": {"text": "a"}})
+    answer = asyncio.create_task(store.write("POST", PATH, body))
+    await asyncio.sleep(0)
+    await store.restore(60)
+    store.mode = ""
+    return await answer
+
+
+class SoakStore(unittest.TestCase):
+    def test_a_write_beside_a_restoration_answers_with_its_object(self):
+        for mode in ("", "slow"):
+            with self.subTest(mode=mode):
+                status, written = asyncio.run(write_beside_restoration(mode))
+                self.assertEqual(status, 200)
+                self.assertEqual(written["spec"], {"text": "a"})
+
+
+if __name__ == "__main__":
+    unittest.main()
