End a run of the soak that takes too long, and say where it waits

Change: a run ends at the latest 240 s after its fault phase, with a finding; the events name the places at which all its tasks wait.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -41,6 +41,7 @@
 SETTLE_S = 3.0  # after a disturbance; then the time bounds are checked again
 START_S = 4.0
 FIRST_FAULT_S = DRAIN_S + 1.2  # after the callers start
+RUN_MAX_S = 240.0  # of a run beside its fault phase
 
 
 class Host:
@@ -179,7 +180,7 @@
             callers = Callers(self)
             caller_tasks = [self.loop.create_task(callers.call_forever(number))
                             for number in range(self.options.callers)]
-            plan = [self.loop.create_task(self.inject(at, kind)) for at, kind in self.draw_plan()]
+            plan = [self.loop.create_task(self.inject(at, kind), name=kind) for at, kind in self.draw_plan()]
             await asyncio.sleep(self.options.seconds)
             await asyncio.gather(*plan)
             await self.end_faults()
@@ -476,12 +477,46 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def execute_in_time(run):
+    """Executes the run. One that takes too long is ended; its findings say where it waits, its events where all tasks do."""
+    execution = asyncio.current_task()
+    late = False
+
+    def end_late():
+        nonlocal late
+        late = True
+        run.add_finding(f"the run has not ended; it waits at {waits_at(execution)}")
+        for task in asyncio.all_tasks():
+            run.log_event(f"{task.get_name()} waits at {waits_at(task)}")
+        execution.cancel()
+
+    timer = run.loop.call_later(run.options.seconds + RUN_MAX_S, end_late)
+    try:
+        await run.execute()
+    except asyncio.CancelledError:
+        if not late:
+            raise
+    finally:
+        timer.cancel()
+
+
+def waits_at(task):
+    """Returns the functions in which the task waits, innermost first, as one line."""
+    places = []
+    waiting = task.get_coro()
+    while waiting is not None:
+        if frame := getattr(waiting, "cr_frame", None):
+            places.append(f"{frame.f_code.co_name}:{frame.f_lineno}")
+        waiting = getattr(waiting, "cr_await", None)
+    return " < ".join(reversed(places))
+
+
 def run_one(seed, options):
     """Runs one seed; returns whether it kept every guarantee."""
 
     async def run_seed():
         run = Run(seed, options)
-        await run.execute()
+        await execute_in_time(run)
         passed_over = [line for line in run.findings if options.pass_over and options.pass_over in line]
         for line in passed_over:
             print(f"seed {seed}: known red, passed over: {line}")
