Ask the peers anew when a gap in the contact with the store is in doubt

What callers saw: nothing yet; a host that was cut off may send a request to a target that left up to about 1 s after its cut, more than a drain time of 1 s allows. Cause: found in the hosts' logs while a failed test was traced. A host that already asks its peers when the doubt begins (its desired state could not be read yet, so it needs them) finishes the backoff of that request, up to 1 s, or is held by the peer until there is news. Change: when the doubt begins, a new request takes the place of an earlier one, from the position of a reader without data, which is answered at once.

--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -114,11 +114,8 @@
               fraction_of(config.drain_, feed_age_max_fraction) + feed_response_margin,
               random_,
               {[this](const feed_page& page) { return on_page(page); },
-               [this] {
-                   position_.version_ = version_;
-                   return position_;
-               },
-               [this] { return own_announcement(); }, events_.on_peers_lost_}},
+               [this] { return requested_position(); }, [this] { return own_announcement(); },
+               events_.on_peers_lost_}},
       server_{
           loop,
           feed_,
@@ -202,7 +199,7 @@
     }
     set_store_active(store_needed);
     check_emptied_source(now);
-    client_.set_active(is_peer_needed(source_, now) || is_gap_in_doubt());
+    check_peer_requests(now);
     keeper_.set_reading(store_needed && source_.has_peers_, source_.is_configured_source_);
     const auto never = time_point::max();
     const time_point next = std::min(next_source_check(source_, now).value_or(never),
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -103,6 +103,8 @@
     void on_peer_contact(const feed_page& page);
     void on_store_contact(const contact_span& span);
     [[nodiscard]] bool is_gap_in_doubt() const;
+    void check_peer_requests(time_point now);
+    [[nodiscard]] feed_position requested_position() const;
     void receive_suspicions(const std::vector<peer::fact>& suspicions);
     void apply_page_targets(const feed_page& page, time_point now);
     void update_store_as_of();
@@ -151,7 +153,8 @@
     feed feed_;
     source_state source_;
     store_contact contact_;
-    known_revision told_; // of the targets, by peers
+    bool asks_in_doubt_ = false; // peers are asked because a gap is in doubt
+    known_revision told_;        // of the targets, by peers
     emptied_source emptied_source_;
     http::timer_id emptied_timer_ = 0;
     feed_position position_;                     // in the feed of the peer that responded last
--- a/src/directory/directory_task_contact.cpp
+++ b/src/directory/directory_task_contact.cpp
@@ -5,6 +5,8 @@
 #include "http/log_fields.hpp"
 #include "telemetry/log.hpp"
 
+#include <utility>
+
 namespace savoryscale::directory {
 
 // A peer of an earlier release tells no span. It keeps missing entries itself, so that they are not
@@ -48,4 +50,21 @@
     return contact_.before_ && is_serving_peers(source_, loop_.now()) && has_missing(registry_);
 }
 
+// Starts or stops requests to peers. When a doubt begins, an earlier request may be held until
+// there is news, or have failed and wait for its backoff: a new one takes its place.
+void directory_task::check_peer_requests(time_point now)
+{
+    const bool in_doubt = is_gap_in_doubt();
+    if (!std::exchange(asks_in_doubt_, in_doubt) && in_doubt) {
+        client_.set_active(false);
+    }
+    client_.set_active(is_peer_needed(source_, now) || in_doubt);
+}
+
+// In doubt, the position of a reader without data: a peer answers it at once.
+feed_position directory_task::requested_position() const
+{
+    return {is_gap_in_doubt() ? 0 : position_.epoch_, position_.sequence_, version_};
+}
+
 } // namespace savoryscale::directory
--- a/tests/directory_feed_test.cpp
+++ b/tests/directory_feed_test.cpp
@@ -162,6 +162,41 @@
     CHECK(std::chrono::steady_clock::now() - removed_at < drain);
 }
 
+// In doubt whether the store was away or itself, a host neither finishes the backoff of its failed
+// requests to peers nor lets a peer hold its request until there is news.
+TEST(directory_feed, a_host_in_doubt_of_its_cut_asks_its_peers_at_once)
+{
+    constexpr double short_drain_s = 0.4; // the longest backoff is at least 0.5 s
+    running_routed_host other_host{feed_settings(store.port(), {}, short_drain_s)};
+    scripted_store refusing_peer;
+    refusing_peer.set_unavailable(true);
+    tests::relay path{store.port()};
+    tests::relay peer_path{other_host.feed_port()};
+    running_routed_host cut_host{
+        feed_settings(path.port(), {refusing_peer.port(), peer_path.port()}, short_drain_s)};
+    running_routed_host reading_host{
+        feed_settings(other_store.port(), {cut_host.feed_port()}, short_drain_s)};
+    CHECK(reading_host.reaches(1, 1));
+    for (tests::relay* each : {&path, &peer_path}) {
+        each->set_cut(tests::path_cut::reset);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds{4});
+    store.refuse_kind("config"); // without it the host still needs its peers
+    path.set_cut(tests::path_cut::none);
+    store.put("servers", "i-2", server_json(1002));
+    CHECK(cut_host.reaches(1, 2));
+    const int refused = refusing_peer.calls();
+    while (refusing_peer.calls() == refused) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    peer_path.set_cut(tests::path_cut::none);
+    store.remove("servers", "i-1");
+    const auto removed_at = std::chrono::steady_clock::now();
+    CHECK(cut_host.reaches(1, 1));
+    CHECK(std::chrono::steady_clock::now() - removed_at <
+          std::chrono::duration<double>{short_drain_s});
+}
+
 // The readers learn of the outage from the feed and keep the entries that expired in it.
 TEST(directory_feed, readers_keep_entries_that_expired_while_the_store_was_away)
 {
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -69,6 +69,13 @@
         changed_.notify_all();
     }
 
+    // Refuses every call for objects of this kind with 503, except those that wait already.
+    void refuse_kind(const std::string& kind)
+    {
+        const std::lock_guard lock{mutex_};
+        refused_kind_ = kind;
+    }
+
     // From now on lists of targets are sent this long after they were made.
     void delay_lists(std::chrono::milliseconds delay) { list_delay_ = delay; }
 
@@ -144,6 +151,10 @@
             const auto kind_at = request.find("/-/objects/") + 11;
             const std::string kind =
                 request.substr(kind_at, request.find_first_of(" ?", kind_at) - kind_at);
+            if (is_refused(kind)) {
+                connection.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
             if (!request.starts_with("GET ")) {
                 connection.send(write(request, kind));
                 continue;
@@ -215,6 +226,12 @@
         return unavailable_;
     }
 
+    bool is_refused(const std::string& kind)
+    {
+        const std::lock_guard lock{mutex_};
+        return kind == refused_kind_;
+    }
+
     std::string list(const std::string& kind)
     {
         const std::lock_guard lock{mutex_};
@@ -254,6 +271,7 @@
     std::condition_variable changed_;
     bool closing_ = false;
     bool unavailable_ = false;
+    std::string refused_kind_;
     std::atomic<int> calls_ = 0;
     std::atomic<int> writes_ = 0;
     std::atomic<int> lists_ = 0;
