Let no other fault of the soak end a host while its process starts

Cause: by the hosts' logs they had applied version 19 of a run that had published 9. Change: the host counts as stopping until its process exists.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -87,10 +87,10 @@
         file = self.run.folder / f"host-{self.number}.json"
         file.write_text(json.dumps(self.settings()))
         self.incarnation += 1
-        self.stopping = False
         with self.log.open("ab") as out:
             self.process = await asyncio.create_subprocess_exec(
                 str(self.program), "serve", f"--settings={file}", stdout=out, stderr=out)
+        self.stopping = False  # from here on other faults may end this process
 
     def signal_process(self, number):
         """Sends a signal to the process if it is running."""
