--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,11 +1,11 @@
 // The relay of the tests, over real sockets.
 
+#include "support/loopback.hpp"
 #include "support/relay.hpp"
 #include "support/running_routed_host.hpp"
 
 #include <CppUTest/TestHarness.h>
 
-#include <arpa/inet.h>
 #include <cerrno>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,15 +16,6 @@
 
 namespace {
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
 // Returns 0, or the error with which a new socket fails at `action`: bind or connect.
 template<typename Action>
 int error_of(Action action, std::uint16_t port)
--- a/tests/support/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -1,5 +1,7 @@
 #include "support/fake_upstream.hpp"
 
+#include "support/loopback.hpp"
+
 #include <arpa/inet.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
@@ -75,15 +77,6 @@
     return message;
 }
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(port);
-    return address;
-}
-
 } // namespace
 
 std::string script_connection::read_request()
--- a/tests/support/http_get.cpp
+++ b/tests/support/http_get.cpp
@@ -1,5 +1,7 @@
 #include "support/http_get.hpp"
 
+#include "support/loopback.hpp"
+
 #include <arpa/inet.h>
 #include <array>
 #include <sys/socket.h>
@@ -12,10 +14,7 @@
     const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
     const timeval receive_timeout{5, 0};
     setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof receive_timeout);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const sockaddr_in address = testing::loopback(port);
     std::string answer;
     if (connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
         send(descriptor, request.data(), request.size(), MSG_NOSIGNAL) > 0) {
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -1,5 +1,7 @@
 #include "support/relay.hpp"
 
+#include "support/loopback.hpp"
+
 #include <arpa/inet.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -12,16 +14,9 @@
 
 namespace savoryscale::tests {
 
-namespace {
+using testing::loopback;
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
+namespace {
 
 // Forwards the available bytes from one socket to the other. Returns false at the end of stream.
 bool forward_bytes(int from, int to)
