Write a suspicion until the store has it

Callers whose requests shared a target with a crashing request lost them once more: after an outage of the store of some seconds and a kill of all hosts the request crashed targets anew.

Cause: after five failed writes, some 3 s of refusals, a suspicion counted as stored (kept_suspicions, on_write_ended). Change: the waits quadruple, so that five tries last some 10 s; then it is tried every one to two minutes until it expires, and at once, spread over a second, when the host regains the store. Evidence: a_suspicion_that_was_not_written_is_tried_again_until_it_expires (no write in 120 s before, 1 after) and such_a_request_is_kept_once_the_store_is_back (over sockets; no object 4 s after an outage of 4.5 s before, one after) failed before, pass now, with the other tests of suspicions, the feed and a restored store.

--- a/src/admission/kept_suspicions.cpp
+++ b/src/admission/kept_suspicions.cpp
@@ -9,8 +9,19 @@
 
 namespace {
 
+// Quadrupled for each of the first tries, which together last through a short outage.
 constexpr duration retry_min = std::chrono::milliseconds{200};
-constexpr duration retry_max = std::chrono::seconds{4};
+constexpr duration retry_max = std::chrono::seconds{30};
+
+// A store that does not take the kind at all is asked this seldom, by every host that has something
+// to write.
+constexpr duration late_retry = std::chrono::minutes{2};
+
+duration retry_wait(std::uint32_t failures, random_source& random)
+{
+    return failures < kept_tries_max ? backoff(retry_min, retry_max, 2 * (failures - 1), random)
+                                     : backoff(late_retry, late_retry, 0, random);
+}
 
 bool is_due(const kept_suspicion& known, keeper_role role, time_point now)
 {
@@ -88,10 +99,10 @@
         // Its version is read by the hosts that follow the store's suspicions, and is 1 at least.
         found->second.stored_version_ = std::max<std::uint64_t>(found->second.stored_version_, 1);
     }
-    if (end != write_end::written && ++kept.failures_ < kept_tries_max) {
-        kept.next_at_ = end == write_end::existed
-                            ? now
-                            : now + backoff(retry_min, retry_max, kept.failures_ - 1, random);
+    if (end != write_end::written) {
+        ++kept.failures_;
+        const bool at_once = end == write_end::existed && kept.failures_ < kept_tries_max;
+        kept.next_at_ = at_once ? now : now + retry_wait(kept.failures_, random);
         return;
     }
     if (found != kept.entries_.end()) {
@@ -101,6 +112,16 @@
     kept.next_at_ = now + kept_write_interval;
 }
 
+void on_store_regained(kept_suspicions& kept, time_point now, random_source& random)
+{
+    if (kept.failures_ == 0) {
+        return;
+    }
+    kept.failures_ = 0;
+    const auto spread = static_cast<std::uint64_t>(duration{kept_write_interval}.count());
+    kept.next_at_ = now + duration{static_cast<std::int64_t>(uniform_below(random, spread))};
+}
+
 std::optional<time_point> next_write_at(const kept_suspicions& kept, keeper_role role,
                                         time_point now)
 {
--- a/src/admission/kept_suspicions.hpp
+++ b/src/admission/kept_suspicions.hpp
@@ -39,7 +39,7 @@
 // Between two writes of a host: the hosts together must leave the store room for its other writers.
 inline constexpr std::chrono::milliseconds kept_write_interval{1000};
 
-// A write is tried this often; each try doubles the wait.
+// After this many failures in a row writes are tried seldom, until the store is regained.
 inline constexpr std::uint32_t kept_tries_max = 5;
 
 // A suspicion is new or has changed. `raised_here`: not because another host or the store told it.
@@ -57,6 +57,10 @@
 enum class write_end : std::uint8_t { written, existed, gone, failed };
 void on_write_ended(kept_suspicions&, write_end, time_point now, random_source&);
 
+// The store answers again after calls to it had failed: what is due is tried soon, at a moment that
+// differs from host to host.
+void on_store_regained(kept_suspicions&, time_point now, random_source&);
+
 // When to call next_write again; none while a write is in flight or nothing is to be written.
 std::optional<time_point> next_write_at(const kept_suspicions&, keeper_role, time_point now);
 
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -488,6 +488,9 @@
     const bool after_outage = update.outage_duration_ && *update.outage_duration_ >= outage_min;
     on_store_contact(
         {after_outage || !contact_.current_ ? now : contact_.current_->confirmed_at_, now});
+    if (update.outage_duration_) {
+        keeper_.on_store_regained();
+    }
     apply_target_update(update, now);
     feed_.targets_revision_ = std::max(feed_.targets_revision_, targets_.revision());
     // While the store may be unavailable, only targets are requested, until it responds.
--- a/src/directory/suspicion_keeper.cpp
+++ b/src/directory/suspicion_keeper.cpp
@@ -189,6 +189,12 @@
     send_due();
 }
 
+void suspicion_keeper::on_store_regained()
+{
+    admission::on_store_regained(kept_, loop_.now(), random_);
+    send_due();
+}
+
 // Makes the next write now, or arms the timer for it.
 void suspicion_keeper::send_due()
 {
--- a/src/directory/suspicion_keeper.hpp
+++ b/src/directory/suspicion_keeper.hpp
@@ -39,6 +39,9 @@
     // told it.
     void on_suspicion(const peer::fact& changed, bool raised_here);
 
+    // The store answers again after an outage.
+    void on_store_regained();
+
 private:
     void apply_role();
     void on_update(const follow_update& update);
--- a/tests/crashing_request_hosts_test.cpp
+++ b/tests/crashing_request_hosts_test.cpp
@@ -340,3 +340,20 @@
     }
     LONGS_EQUAL(2, crashes.load());
 }
+
+// The store is away when the targets crash, and all hosts are killed some time later.
+TEST(crashing_request_hosts, such_a_request_is_kept_once_the_store_is_back)
+{
+    start(3, 12);
+    store.set_unavailable(true);
+    while (crashes < 2) {
+        send(0, "/sell/crash");
+    }
+    std::this_thread::sleep_for(4500ms);
+    LONGS_EQUAL(0, store.count("suspicions"));
+    store.set_unavailable(false);
+    for (int i = 0; i < 400 && store.count("suspicions") == 0; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    LONGS_EQUAL(1, store.count("suspicions"));
+}
--- a/tests/kept_suspicions_test.cpp
+++ b/tests/kept_suspicions_test.cpp
@@ -172,6 +172,25 @@
     }
 }
 
+// A store that was away for long must not be taken for one that has the suspicion.
+TEST(kept_suspicions, a_suspicion_that_was_not_written_is_tried_again_until_it_expires)
+{
+    on_suspicion_changed(kept, suspicion(1, "a#1,b#1"), true, now);
+    const auto calls_until = [&](time_point until, write_end end) {
+        std::uint32_t calls = 0;
+        for (; now < until; now += 10ms) {
+            if (next_write(kept, keeper_role::feed, now) != nullptr) {
+                ++calls;
+                on_write_ended(kept, end, now, random);
+            }
+        }
+        return calls;
+    };
+    calls_until(now + 30s, write_end::failed);
+    LONGS_EQUAL(1, calls_until(now + 120s, write_end::written));
+    LONGS_EQUAL(0, calls_until(now + 600s, write_end::written));
+}
+
 TEST(kept_suspicions, memory_is_bounded)
 {
     for (fingerprint request = 1; request < 4 * kept_suspicions_max; ++request) {
