Bind writes of suspicions to the revision that was read

Callers whose requests shared a target with a crashing request lost them to more than three crashes once all hosts were killed, if a host of the feed that had been cut off from the others wrote last: their crashes were gone from the store. The removal of an outdated object could likewise take away a newer one.

Cause: suspicion_keeper replaced and removed objects whatever they held. Change: a replacement names the revision that was read, a host that knows none reads the object first, and on a conflict the crashes of both are written. A removal is bound in the same way. The stand-in stores of the tests and the soak check revisions and answer with the object, as the store does. Evidence, failed before and pass now: crashes_stored_by_another_host_are_overwritten (over sockets; 3 crashes of 5 were left), an_outdated_object_is_removed_whatever_it_holds_by_then (1 removal that was not bound). In virtual time, written with the change: a_host_that_knows_fewer_crashes_overwrites_none. 11 test programs of suspicions, the directory and the platform's adapter pass.

--- a/soak/world.py
+++ b/soak/world.py
@@ -194,20 +194,27 @@
 
     async def write(self, method, path, body):
         """Creates, replaces or removes an object of the hosts' own."""
-        kind, *named = path.partition("?")[0].split("/")[3:]
+        path, _, query = path.partition("?")
+        kind, *named = path.split("/")[3:]
         known = self.objects.get(kind, {})
-        if method == "DELETE":
-            await self.remove(kind, named[0])
-            return 200, {}
-        given = json.loads(body)
+        given = json.loads(body) if body else {"metadata": {}}
         name = named[0] if named else given["metadata"]["name"]
         if (name in known) == (method == "POST"):
             return (409, known[name]) if name in known else (404, {})
+        expected = int(query.removeprefix("revision=") or given["metadata"].get("revision", 0))
+        if expected and expected != known[name]["metadata"]["revision"]:
+            return 409, known[name]
+        if method == "DELETE":
+            await self.remove(kind, name)
+            return 200, {}
         return 200, await self.put(kind, name, given["spec"])
 
     async def answer(self, path):
         path, _, query = path.partition("?")
-        kind = path.split("/")[3]
+        kind, *named = path.split("/")[3:]
+        if named:
+            known = self.objects.get(kind, {}).get(named[0])
+            return (200, known) if known else (404, {})
         parameters = dict(part.split("=", 1) for part in query.split("&")) if query else {}
         if "watch" not in parameters:
             return 200, {"items": list(self.objects.get(kind, {}).values()), "has_more": False,
--- a/src/admission/kept_suspicions.cpp
+++ b/src/admission/kept_suspicions.cpp
@@ -62,12 +62,15 @@
     known.raised_here_ |= raised_here;
 }
 
-void on_kept_read(kept_suspicions& kept, fingerprint request, std::uint64_t version)
+void on_kept_read(kept_suspicions& kept, fingerprint request, std::uint64_t version,
+                  std::uint64_t revision)
 {
     if (kept.entries_.count(request) == 0) {
         make_room(kept);
     }
-    kept.entries_[request].stored_version_ = version;
+    kept_suspicion& known = kept.entries_[request];
+    known.stored_version_ = version;
+    known.stored_revision_ = revision;
 }
 
 const kept_suspicion* next_write(kept_suspicions& kept, keeper_role role, time_point now)
@@ -88,28 +91,38 @@
     return chosen;
 }
 
+write_call call_for(const kept_suspicion& due)
+{
+    return due.stored_version_ == 0    ? write_call::create
+           : due.stored_revision_ == 0 ? write_call::read
+                                       : write_call::replace;
+}
+
 void on_write_ended(kept_suspicions& kept, write_end end, time_point now, random_source& random)
 {
     const auto request = std::exchange(kept.writing_, std::nullopt);
-    const auto found = request ? kept.entries_.find(*request) : kept.entries_.end();
-    if (found != kept.entries_.end() && end == write_end::gone) {
-        found->second.stored_version_ = 0;
+    if (end == write_end::read) {
+        return;
     }
-    if (found != kept.entries_.end() && end == write_end::existed) {
-        // Its version is read by the hosts that follow the store's suspicions, and is 1 at least.
-        found->second.stored_version_ = std::max<std::uint64_t>(found->second.stored_version_, 1);
+    if (const auto found = request ? kept.entries_.find(*request) : kept.entries_.end();
+        found != kept.entries_.end()) {
+        kept_suspicion& known = found->second;
+        known.stored_revision_ = 0;
+        known.stored_version_ = end == write_end::written ? kept.writing_version_
+                                : end == write_end::gone  ? 0
+                                : end == write_end::conflict
+                                    // Its version is not known yet, and is 1 at least.
+                                    ? std::max<std::uint64_t>(known.stored_version_, 1)
+                                    : known.stored_version_;
     }
-    if (end != write_end::written) {
-        ++kept.failures_;
-        const bool at_once = end == write_end::existed && kept.failures_ < kept_tries_max;
-        kept.next_at_ = at_once ? now : now + retry_wait(kept.failures_, random);
+    if (end == write_end::written) {
+        kept.failures_ = 0;
+        kept.next_at_ = now + kept_write_interval;
         return;
     }
-    if (found != kept.entries_.end()) {
-        found->second.stored_version_ = kept.writing_version_;
-    }
-    kept.failures_ = 0;
-    kept.next_at_ = now + kept_write_interval;
+    ++kept.failures_;
+    const bool at_once = end == write_end::conflict && kept.failures_ < kept_tries_max;
+    kept.next_at_ = at_once ? now : now + retry_wait(kept.failures_, random);
 }
 
 void on_store_regained(kept_suspicions& kept, time_point now, random_source& random)
--- a/src/admission/kept_suspicions.hpp
+++ b/src/admission/kept_suspicions.hpp
@@ -22,8 +22,9 @@
 struct kept_suspicion {
     peer::fact fact_; // as this host knows it
     time_point expires_at_{};
-    std::uint64_t stored_version_ = 0; // of the store's object, as far as known; 0: there is none
-    bool raised_here_ = false;         // this host saw a crash of it
+    std::uint64_t stored_version_ = 0;  // of the store's object, as far as known; 0: there is none
+    std::uint64_t stored_revision_ = 0; // at which that object was read; 0: not known
+    bool raised_here_ = false;          // this host saw a crash of it
 };
 
 struct kept_suspicions {
@@ -45,16 +46,20 @@
 // A suspicion is new or has changed. `raised_here`: not because another host or the store told it.
 void on_suspicion_changed(kept_suspicions&, const peer::fact&, bool raised_here, time_point now);
 
-// The store's object has this version; 0: it was removed.
-void on_kept_read(kept_suspicions&, fingerprint, std::uint64_t version);
+// The store's object of this revision has this version; 0: it was removed.
+void on_kept_read(kept_suspicions&, fingerprint, std::uint64_t version, std::uint64_t revision);
 
 // What to write now; none while a write is in flight, before next_at_, or when nothing is due.
-// Whether the object exists already: its stored_version_ is not 0.
 const kept_suspicion* next_write(kept_suspicions&, keeper_role, time_point now);
 
-// `existed`: it was to be created and another host has done so. `gone`: it was to be replaced and
-// has been removed.
-enum class write_end : std::uint8_t { written, existed, gone, failed };
+// The call that a write takes next. An object is replaced at the revision at which it was read
+// only, so that crashes that this host has not heard of stay in it.
+enum class write_call : std::uint8_t { create, read, replace };
+write_call call_for(const kept_suspicion&);
+
+// `read`: its object was read, and is to be replaced now. `conflict`: another host has created or
+// replaced it. `gone`: it was to be read or replaced and has been removed.
+enum class write_end : std::uint8_t { written, read, conflict, gone, failed };
 void on_write_ended(kept_suspicions&, write_end, time_point now, random_source&);
 
 // The store answers again after calls to it had failed: what is due is tried soon, at a moment that
--- a/src/directory/dialect.hpp
+++ b/src/directory/dialect.hpp
@@ -27,9 +27,14 @@
 
     // Path and query of the GET request that lists or watches a kind.
     std::string (*call_path_)(std::string_view kind, const follow_call&) = nullptr;
-    // Path of one object, and the document that creates or replaces it with this value.
+    // Path of one object, the path that removes it if it is of this revision, and the document that
+    // creates it (revision 0), or replaces it if it is of this revision.
     std::string (*object_path_)(std::string_view kind, std::string_view name) = nullptr;
-    std::string (*write_object_)(std::string_view name, const nlohmann::json& value) = nullptr;
+    std::string (*removal_path_)(std::string_view kind, std::string_view name,
+                                 std::uint64_t revision) = nullptr;
+    std::string (*write_object_)(std::string_view name, const nlohmann::json& value,
+                                 std::uint64_t revision) = nullptr;
+    result<stored_object> (*read_object_)(std::string_view body) = nullptr;
     result<list_page> (*read_list_)(std::string_view body) = nullptr;
     result<change_page> (*read_changes_)(std::string_view body) = nullptr;
     result<routes::desired_state> (*read_desired_state_)(const nlohmann::json&) = nullptr;
--- a/src/directory/suspicion_keeper.cpp
+++ b/src/directory/suspicion_keeper.cpp
@@ -140,14 +140,19 @@
 void suspicion_keeper::on_update(const follow_update& update)
 {
     was_read_ = true;
+    read_all(update.objects_);
+    apply_role();
+}
+
+void suspicion_keeper::read_all(const std::vector<stored_object>& objects)
+{
     std::vector<peer::fact> facts;
-    for (const stored_object& object : update.objects_) {
+    for (const stored_object& object : objects) {
         read(object, facts);
     }
     if (!facts.empty()) {
         events_.on_read_(facts);
     }
-    apply_role();
 }
 
 void suspicion_keeper::read(const stored_object& object, std::vector<peer::fact>& facts)
@@ -162,7 +167,9 @@
                           value.contains(until_field) && value[crashes_field].is_string() &&
                           value[until_field].is_number_unsigned();
     if (!readable) {
-        admission::on_kept_read(kept_, *request, 0);
+        // One that cannot be read is replaced as one that names a crash nobody knows.
+        const std::uint64_t version = object.removed_ ? 0 : 1;
+        admission::on_kept_read(kept_, *request, version, object.revision_);
         return;
     }
     known.payload_ = value[crashes_field].get<std::string>();
@@ -172,14 +179,15 @@
                                 static_cast<std::uint64_t>((wall_now() + lifetime_max).count()))};
     const milliseconds left = until - wall_now();
     if (!admission::is_valid(known) || left < std::chrono::seconds{1}) {
+        admission::on_kept_read(kept_, *request, 1, object.revision_);
         if (left < -outdated_margin && outdated_.size() < outdated_max) {
-            outdated_.push_back(object.name_);
+            outdated_.push_back(object);
         }
         return;
     }
     known.lifetime_s_ =
         static_cast<std::uint32_t>(duration_cast<std::chrono::seconds>(left).count());
-    admission::on_kept_read(kept_, *request, admission::version_of(known));
+    admission::on_kept_read(kept_, *request, admission::version_of(known), object.revision_);
     facts.push_back(std::move(known));
 }
 
@@ -204,31 +212,13 @@
     }
     const time_point now = loop_.now();
     if (const admission::kept_suspicion* due = admission::next_write(kept_, role_, now)) {
-        const std::string& name = due->fact_.subject_;
-        const bool exists = due->stored_version_ > 0;
-        const auto until = wall_now() + duration_cast<milliseconds>(due->expires_at_ - now);
-        const std::string body = dialect_.write_object_(
-            name, {{crashes_field, due->fact_.payload_},
-                   {until_field, static_cast<std::uint64_t>(until.count())}});
-        telemetry::decided("suspicion_kept", {},
-                           {{"fingerprint", name},
-                            {"crashes", due->fact_.payload_},
-                            {"as", role_ == admission::keeper_role::feed ? "feed" : "lone"},
-                            {"stored_version", std::to_string(due->stored_version_)}});
-        send(fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n"
-                         "Content-Length: {}\r\n\r\n{}",
-                         exists ? "PUT" : "POST",
-                         dialect_.object_path_(dialect_.suspicions_kind_, exists ? name : ""),
-                         pool_.name(), body.size(), body),
-             exists ? store::operation::update : store::operation::create);
+        send_write(*due);
         return;
     }
     if (!outdated_.empty()) {
-        send(fmt::format("DELETE {} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
-                         dialect_.object_path_(dialect_.suspicions_kind_, outdated_.front()),
-                         pool_.name()),
-             store::operation::remove);
+        const stored_object outdated = std::move(outdated_.front());
         outdated_.pop_front();
+        send_removal(outdated);
         return;
     }
     if (const auto next = admission::next_write_at(kept_, role_, now)) {
@@ -239,6 +229,49 @@
     }
 }
 
+void suspicion_keeper::send_write(const admission::kept_suspicion& due)
+{
+    using admission::write_call;
+    const std::string& name = due.fact_.subject_;
+    const write_call call = admission::call_for(due);
+    telemetry::decided("suspicion_kept", {},
+                       {{"fingerprint", name},
+                        {"crashes", due.fact_.payload_},
+                        {"as", role_ == admission::keeper_role::feed ? "feed" : "lone"},
+                        {"call", call == write_call::create ? "create"
+                                 : call == write_call::read ? "read"
+                                                            : "replace"},
+                        {"stored_version", std::to_string(due.stored_version_)},
+                        {"stored_revision", std::to_string(due.stored_revision_)}});
+    const std::string path =
+        dialect_.object_path_(dialect_.suspicions_kind_, call == write_call::create ? "" : name);
+    if (call == write_call::read) {
+        send(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", path, pool_.name()),
+             store::operation::get);
+        return;
+    }
+    const auto until = wall_now() + duration_cast<milliseconds>(due.expires_at_ - loop_.now());
+    const std::string body =
+        dialect_.write_object_(name,
+                               {{crashes_field, due.fact_.payload_},
+                                {until_field, static_cast<std::uint64_t>(until.count())}},
+                               due.stored_revision_);
+    const bool creates = call == write_call::create;
+    send(fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n"
+                     "Content-Length: {}\r\n\r\n{}",
+                     creates ? "POST" : "PUT", path, pool_.name(), body.size(), body),
+         creates ? store::operation::create : store::operation::update);
+}
+
+void suspicion_keeper::send_removal(const stored_object& outdated)
+{
+    send(fmt::format(
+             "DELETE {} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
+             dialect_.removal_path_(dialect_.suspicions_kind_, outdated.name_, outdated.revision_),
+             pool_.name()),
+         store::operation::remove);
+}
+
 void suspicion_keeper::send(const std::string& request, store::operation operation)
 {
     exchange_ = std::make_unique<http::buffered_exchange>(loop_, request, answer_bytes_max);
@@ -258,16 +291,32 @@
     const store::call_status status = status_of(answer);
     events_.on_call_(operation, status);
     if (operation != store::operation::remove) {
-        using admission::write_end;
-        const write_end end =
-            status == store::call_status::ok         ? write_end::written
-            : status == store::call_status::conflict ? write_end::existed
-            : status == store::call_status::not_found && operation == store::operation::update
-                ? write_end::gone
-                : write_end::failed;
-        admission::on_write_ended(kept_, end, loop_.now(), random_);
+        on_write_answered(answer, operation, status);
     }
     send_due();
 }
 
+void suspicion_keeper::on_write_answered(const http::buffered_answer& answer,
+                                         store::operation operation, store::call_status status)
+{
+    using admission::write_end;
+    using store::call_status;
+    // The object as it is now, also in the answer to a call that met another revision.
+    const auto object = dialect_.read_object_(answer.body_);
+    const bool was_read = (status == call_status::ok || status == call_status::conflict) &&
+                          object && object->revision_ > 0;
+    const bool reads = operation == store::operation::get;
+    const write_end end =
+        status == call_status::ok && !reads     ? write_end::written
+        : status == call_status::ok && was_read ? write_end::read
+        : status == call_status::conflict       ? write_end::conflict
+        : status == call_status::not_found && operation != store::operation::create
+            ? write_end::gone
+            : write_end::failed;
+    admission::on_write_ended(kept_, end, loop_.now(), random_);
+    if (was_read) {
+        read_all({*object});
+    }
+}
+
 } // namespace savoryscale::directory
--- a/src/directory/suspicion_keeper.hpp
+++ b/src/directory/suspicion_keeper.hpp
@@ -5,6 +5,7 @@
 
 #include "admission/kept_suspicions.hpp"
 #include "directory/follower.hpp"
+#include "directory/stored_object.hpp"
 #include "http/timer_queue.hpp"
 #include "peer/fact.hpp"
 
@@ -45,10 +46,15 @@
 private:
     void apply_role();
     void on_update(const follow_update& update);
+    void read_all(const std::vector<stored_object>& objects);
     void read(const stored_object& object, std::vector<peer::fact>& facts);
     void send_due();
+    void send_write(const admission::kept_suspicion& due);
+    void send_removal(const stored_object& outdated);
     void send(const std::string& request, store::operation operation);
     void on_sent(const http::buffered_answer& answer, store::operation operation);
+    void on_write_answered(const http::buffered_answer& answer, store::operation operation,
+                           store::call_status status);
 
     http::event_loop& loop_;
     http::connection_pool& pool_;
@@ -58,8 +64,8 @@
     admission::kept_suspicions kept_;
     admission::keeper_role role_ = admission::keeper_role::none;
     bool reads_store_ = false;
-    bool was_read_ = false;            // since the start
-    std::deque<std::string> outdated_; // names of objects to remove
+    bool was_read_ = false;              // since the start
+    std::deque<stored_object> outdated_; // to remove
     follower follower_;
     std::unique_ptr<http::buffered_exchange> exchange_;
     http::timer_id lone_timer_ = 0;
--- a/tests/crashing_request_hosts_test.cpp
+++ b/tests/crashing_request_hosts_test.cpp
@@ -357,3 +357,43 @@
     }
     LONGS_EQUAL(1, store.count("suspicions"));
 }
+
+// Another host, which these do not hear, has stored crashes of its own.
+TEST(crashing_request_hosts, crashes_stored_by_another_host_are_overwritten)
+{
+    start(3, 12);
+    while (crashes < 2) {
+        send(0, "/sell/crash");
+    }
+    for (int i = 0; i < 300 && store.count("suspicions") == 0; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    LONGS_EQUAL(1, store.count("suspicions"));
+    std::this_thread::sleep_for(1s); // the writes of the other hosts
+    const std::string name = store.names("suspicions").front();
+    auto value = store.value("suspicions", name);
+    value["crashes"] = value["crashes"].get<std::string>() + ",other-1#1,other-2#1";
+    store.put("suspicions", name, value);
+    std::this_thread::sleep_for(8s); // until the request may run once more
+    for (int i = 0; i < 300 && crashes < 3; ++i) {
+        send(0, "/sell/crash");
+        std::this_thread::sleep_for(10ms);
+    }
+    LONGS_EQUAL(3, crashes);
+    std::this_thread::sleep_for(3s);
+    const auto stored = store.value("suspicions", name)["crashes"].get<std::string>();
+    STRCMP_CONTAINS("other-1#1,other-2#1", stored.c_str());
+    LONGS_EQUAL(5, std::count(stored.begin(), stored.end(), '#'));
+}
+
+// Another host may have replaced it since it was read.
+TEST(crashing_request_hosts, an_outdated_object_is_removed_whatever_it_holds_by_then)
+{
+    store.put("suspicions", "00000000000000a7", {{"crashes", "a#1,b#1"}, {"until_ms", 1}});
+    start(3, 1);
+    for (int i = 0; i < 300 && store.count("suspicions") > 0; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    LONGS_EQUAL(0, store.count("suspicions"));
+    LONGS_EQUAL(0, store.unconditional_writes());
+}
--- a/tests/kept_suspicions_test.cpp
+++ b/tests/kept_suspicions_test.cpp
@@ -36,6 +36,8 @@
     time_point now_ = time_point{} + 100s;
     random_source random_{5};
     std::map<fingerprint, peer::fact> stored_{};
+    std::map<fingerprint, std::uint64_t> revisions_{}; // of what is stored
+    std::uint64_t revision_ = 10;
     std::size_t calls_ = 0;
     bool reads_ = true;
 
@@ -57,27 +59,44 @@
                     continue;
                 }
                 ++calls_;
-                const fingerprint request = *writer.kept_.writing_;
-                if (due->stored_version_ == 0 && stored_.count(request) > 0) {
-                    on_write_ended(writer.kept_, write_end::existed, now_, random_);
-                    continue;
-                }
-                stored_[request] = due->fact_;
-                on_write_ended(writer.kept_, write_end::written, now_, random_);
-                if (!reads_) {
-                    continue;
-                }
-                for (host& reader : hosts_) {
-                    on_kept_read(reader.kept_, request, stored_[request].version_);
-                    if (merge(reader.known_, stored_[request], now_).value()) {
-                        on_suspicion_changed(reader.kept_,
-                                             shared_suspicion_of(reader.known_, request, now_),
-                                             false, now_);
-                    }
-                }
+                write(writer, *due, *writer.kept_.writing_);
             }
         }
     }
+
+    void write(host& writer, const kept_suspicion& due, fingerprint request)
+    {
+        const write_call call = call_for(due);
+        const bool exists = stored_.count(request) > 0;
+        if (call == write_call::read) {
+            on_write_ended(writer.kept_, write_end::read, now_, random_);
+            read(writer, request);
+            return;
+        }
+        if (exists != (call == write_call::replace) ||
+            (exists && revisions_[request] != due.stored_revision_)) {
+            on_write_ended(writer.kept_, write_end::conflict, now_, random_);
+            return;
+        }
+        stored_[request] = due.fact_;
+        revisions_[request] = ++revision_;
+        on_write_ended(writer.kept_, write_end::written, now_, random_);
+        if (!reads_) {
+            return;
+        }
+        for (host& reader : hosts_) {
+            read(reader, request);
+        }
+    }
+
+    void read(host& reader, fingerprint request)
+    {
+        on_kept_read(reader.kept_, request, stored_[request].version_, revisions_[request]);
+        if (merge(reader.known_, stored_[request], now_).value()) {
+            on_suspicion_changed(reader.kept_, shared_suspicion_of(reader.known_, request, now_),
+                                 false, now_);
+        }
+    }
 };
 
 } // namespace
@@ -121,6 +140,23 @@
     CHECK(all.calls_ <= 9);
 }
 
+// Hosts that hear neither of each other nor of what is stored, as hosts of the feed do that are cut
+// off from each other.
+TEST(kept_suspicions, a_host_that_knows_fewer_crashes_overwrites_none)
+{
+    fleet all{std::vector<host>(2)};
+    all.reads_ = false;
+    all.crash(0, 7, "a");
+    all.run_for(2s);
+    for (const char* target : {"b", "c", "d"}) {
+        all.crash(1, 7, target);
+    }
+    all.run_for(2s);
+    all.crash(0, 7, "e");
+    all.run_for(2s);
+    LONGS_EQUAL(5, all.stored_[7].version_);
+}
+
 // A data centre's targets crash at once, with one request of each host in flight.
 TEST(kept_suspicions, each_of_many_hosts_writes_once_a_second_at_most)
 {
@@ -147,18 +183,19 @@
 
 TEST(kept_suspicions, a_cleared_suspicion_replaces_the_one_in_the_store)
 {
-    on_kept_read(kept, 1, 2);
+    on_kept_read(kept, 1, 2, 40);
     on_suspicion_changed(kept, suspicion(1, "a#1,b#1"), true, now);
     CHECK(next_write(kept, keeper_role::feed, now) == nullptr);
     on_suspicion_changed(kept, suspicion(1, "a#1!,b#1!"), true, now);
     const kept_suspicion* due = next_write(kept, keeper_role::feed, now);
     CHECK(due != nullptr);
     LONGS_EQUAL(2, due->stored_version_);
+    CHECK(call_for(*due) == write_call::replace);
 }
 
 TEST(kept_suspicions, a_store_that_takes_no_writes_is_asked_a_few_times)
 {
-    for (const write_end end : {write_end::failed, write_end::existed, write_end::gone}) {
+    for (const write_end end : {write_end::failed, write_end::conflict, write_end::gone}) {
         kept = {};
         on_suspicion_changed(kept, suspicion(1, "a#1,b#1"), true, now);
         std::uint32_t calls = 0;
@@ -195,7 +232,7 @@
 {
     for (fingerprint request = 1; request < 4 * kept_suspicions_max; ++request) {
         on_suspicion_changed(kept, suspicion(request, "a#1,b#1"), true, now);
-        on_kept_read(kept, 10000 + request, 2);
+        on_kept_read(kept, 10000 + request, 2, 40);
     }
     CHECK(kept.entries_.size() <= kept_suspicions_max);
     on_suspicion_changed(kept, {peer::fact_kind::suspicion, "not hexadecimal", 0, "a#1", 9}, true,
--- a/tests/soak_store_test.py
+++ b/tests/soak_store_test.py
@@ -39,6 +39,22 @@
                 self.assertEqual(status, 200)
                 self.assertEqual(written["spec"], {"text": "a"})
 
+    def test_a_write_bound_to_another_revision_changes_nothing(self):
+        async def play():
+            store = Store(0)
+            body = json.dumps({"metadata": {"name": "one"}, "spec": {"text": "a"}})
+            _, made = await store.write("POST", PATH, body)
+            late = made["metadata"]["revision"] - 1
+            bound = json.dumps({"metadata": {"name": "one", "revision": late}, "spec": {"text": "b"}})
+            self.assertEqual(await store.write("PUT", f"{PATH}/one", bound), (409, made))
+            self.assertEqual(await store.write("DELETE", f"{PATH}/one?revision={late}", b""), (409, made))
+            self.assertEqual(await store.answer(f"{PATH}/one"), (200, made))
+            status, _ = await store.write("DELETE", f"{PATH}/one?revision={late + 1}", b"")
+            self.assertEqual(status, 200)
+            self.assertEqual(await store.answer(f"{PATH}/one"), (404, {}))
+
+        asyncio.run(play())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -85,6 +85,9 @@
     [[nodiscard]] int calls() const { return calls_; }
     [[nodiscard]] int writes() const { return writes_; }
 
+    // Replacements and removals that were not bound to a revision.
+    [[nodiscard]] int unconditional_writes() const { return unconditional_writes_; }
+
     // Whether there is an object of this kind and name, 1 or 0; without a name, how many there are.
     std::size_t count(const std::string& kind, const std::string& name = {})
     {
@@ -92,6 +95,24 @@
         return name.empty() ? objects_[kind].size() : objects_[kind].count(name);
     }
 
+    // The value of an object; null if there is none.
+    nlohmann::json value(const std::string& kind, const std::string& name)
+    {
+        const nlohmann::json object = find(kind, name);
+        return object.is_null() ? object : object.at("spec");
+    }
+
+    // The names of the objects of a kind.
+    std::vector<std::string> names(const std::string& kind)
+    {
+        const std::lock_guard lock{mutex_};
+        std::vector<std::string> all;
+        for (const auto& [name, object] : objects_[kind]) {
+            all.push_back(name);
+        }
+        return all;
+    }
+
     // Keeps a copy of the objects and the revision, for restore().
     void keep_copy()
     {
@@ -159,6 +180,11 @@
                 connection.send(write(request, kind));
                 continue;
             }
+            if (const auto slash = kind.find('/'); slash != std::string::npos) {
+                const nlohmann::json object = find(kind.substr(0, slash), kind.substr(slash + 1));
+                connection.send(answer(object.is_null() ? 404 : 200, object));
+                continue;
+            }
             const auto watch = request.find("watch=");
             const std::uint64_t from =
                 watch == std::string::npos ? 0 : std::stoull(request.substr(watch + 6));
@@ -182,7 +208,7 @@
         }
     }
 
-    // Carries out POST, PUT or DELETE and returns the answer.
+    // Carries out POST, PUT or DELETE and returns the answer, which holds the object as it is then.
     std::string write(const std::string& request, const std::string& path)
     {
         ++writes_;
@@ -193,10 +219,14 @@
         const std::string name = slash < path.size()
                                      ? path.substr(slash + 1)
                                      : body.at("metadata").at("name").get<std::string>();
-        const bool exists = count(kind, name) > 0;
-        if (request.starts_with("POST ") == exists) {
-            return exists ? "HTTP/1.1 409 No\r\nContent-Length: 0\r\n\r\n"
-                          : "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n";
+        const nlohmann::json known = find(kind, name);
+        if (request.starts_with("POST ") != known.is_null()) {
+            return answer(known.is_null() ? 404 : 409, {});
+        }
+        const auto expected = expected_revision(request, body);
+        unconditional_writes_ += !expected && !known.is_null() ? 1 : 0;
+        if (expected && *expected != known.at("metadata").at("revision")) {
+            return answer(409, known);
         }
         if (request.starts_with("DELETE ")) {
             remove(kind, name);
@@ -204,7 +234,37 @@
         else {
             put(kind, name, body.at("spec"));
         }
-        return ok_answer("{}", era_field());
+        return answer(200, find(kind, name));
+    }
+
+    // The revision to which a write is bound, in its query or in the object.
+    static std::optional<std::uint64_t> expected_revision(const std::string& request,
+                                                          const nlohmann::json& body)
+    {
+        constexpr std::string_view parameter = "?revision=";
+        const auto at = request.find(parameter);
+        if (at < request.find("\r\n")) {
+            return std::stoull(request.substr(at + parameter.size()));
+        }
+        if (!body.is_object() || !body.at("metadata").contains("revision")) {
+            return std::nullopt;
+        }
+        return body.at("metadata").at("revision").get<std::uint64_t>();
+    }
+
+    std::string answer(int status, const nlohmann::json& body)
+    {
+        const std::string text = body.is_null() ? "{}" : body.dump();
+        return fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}", status, era_field(),
+                           text.size(), text);
+    }
+
+    nlohmann::json find(const std::string& kind, const std::string& name)
+    {
+        const std::lock_guard lock{mutex_};
+        const auto& all = objects_[kind];
+        const auto found = all.find(name);
+        return found == all.end() ? nlohmann::json{} : found->second;
     }
 
     std::uint64_t revision()
@@ -274,6 +334,7 @@
     std::string refused_kind_;
     std::atomic<int> calls_ = 0;
     std::atomic<int> writes_ = 0;
+    std::atomic<int> unconditional_writes_ = 0;
     std::atomic<int> lists_ = 0;
     std::atomic<std::chrono::milliseconds> list_delay_{};
     std::uint64_t revision_ = 10;
