Write suspicions again to a store that has come back from an older copy

Cause: a host remembers what it has stored and takes it for stored for good, also when the store names another era or its complete list lacks the object. After a kill of all hosts the request would have crashed targets anew. Change: both make the host forget what it knows of the stored objects, so that they are due again; the writes of hosts are spread over a second.

--- a/src/admission/kept_suspicions.cpp
+++ b/src/admission/kept_suspicions.cpp
@@ -73,6 +73,14 @@
     known.stored_revision_ = revision;
 }
 
+void forget_stored(kept_suspicions& kept)
+{
+    for (auto& [request, known] : kept.entries_) {
+        known.stored_version_ = 0;
+        known.stored_revision_ = 0;
+    }
+}
+
 const kept_suspicion* next_write(kept_suspicions& kept, keeper_role role, time_point now)
 {
     if (kept.writing_ || now < kept.next_at_) {
@@ -127,9 +135,6 @@
 
 void on_store_regained(kept_suspicions& kept, time_point now, random_source& random)
 {
-    if (kept.failures_ == 0) {
-        return;
-    }
     kept.failures_ = 0;
     const auto spread = static_cast<std::uint64_t>(duration{kept_write_interval}.count());
     kept.next_at_ = now + duration{static_cast<std::int64_t>(uniform_below(random, spread))};
--- a/src/admission/kept_suspicions.hpp
+++ b/src/admission/kept_suspicions.hpp
@@ -49,6 +49,10 @@
 // The store's object of this revision has this version; 0: it was removed.
 void on_kept_read(kept_suspicions&, fingerprint, std::uint64_t version, std::uint64_t revision);
 
+// Nothing is known of the store's objects any more: it has come back from an older copy, or its
+// complete list is about to be read.
+void forget_stored(kept_suspicions&);
+
 // What to write now; none while a write is in flight, before next_at_, or when nothing is due.
 const kept_suspicion* next_write(kept_suspicions&, keeper_role, time_point now);
 
@@ -62,8 +66,8 @@
 enum class write_end : std::uint8_t { written, read, conflict, gone, failed };
 void on_write_ended(kept_suspicions&, write_end, time_point now, random_source&);
 
-// The store answers again after calls to it had failed: what is due is tried soon, at a moment that
-// differs from host to host.
+// The store answers again after an outage, or has come back from an older copy: what is due is
+// written soon, at a moment that differs from host to host.
 void on_store_regained(kept_suspicions&, time_point now, random_source&);
 
 // When to call next_write again; none while a write is in flight or nothing is to be written.
--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -293,6 +293,7 @@
     if (before != 0) {
         on_data_lost(contact_);
         on_store_recovered(registry_, loop_.now());
+        keeper_.on_store_restored();
     }
     if (events_.on_store_era_) {
         events_.on_store_era_(era_.value_);
--- a/src/directory/suspicion_keeper.cpp
+++ b/src/directory/suspicion_keeper.cpp
@@ -140,6 +140,9 @@
 void suspicion_keeper::on_update(const follow_update& update)
 {
     was_read_ = true;
+    if (update.complete_) {
+        admission::forget_stored(kept_);
+    }
     read_all(update.objects_);
     apply_role();
 }
@@ -203,6 +206,12 @@
     send_due();
 }
 
+void suspicion_keeper::on_store_restored()
+{
+    admission::forget_stored(kept_);
+    on_store_regained();
+}
+
 // Makes the next write now, or arms the timer for it.
 void suspicion_keeper::send_due()
 {
--- a/src/directory/suspicion_keeper.hpp
+++ b/src/directory/suspicion_keeper.hpp
@@ -43,6 +43,9 @@
     // The store answers again after an outage.
     void on_store_regained();
 
+    // The store has come back from an older copy.
+    void on_store_restored();
+
 private:
     void apply_role();
     void on_update(const follow_update& update);
--- a/tests/crashing_request_hosts_test.cpp
+++ b/tests/crashing_request_hosts_test.cpp
@@ -102,6 +102,17 @@
     fake_upstream server_;
 };
 
+// Whether this holds within `longest`.
+template<typename Condition>
+bool eventually(const Condition& holds, std::chrono::milliseconds longest = 3s)
+{
+    const auto until = std::chrono::steady_clock::now() + longest;
+    while (!holds() && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(10ms);
+    }
+    return holds();
+}
+
 } // namespace
 
 TEST_GROUP(crashing_request_hosts)
@@ -352,10 +363,7 @@
     std::this_thread::sleep_for(4500ms);
     LONGS_EQUAL(0, store.count("suspicions"));
     store.set_unavailable(false);
-    for (int i = 0; i < 400 && store.count("suspicions") == 0; ++i) {
-        std::this_thread::sleep_for(10ms);
-    }
-    LONGS_EQUAL(1, store.count("suspicions"));
+    CHECK(eventually([&] { return store.count("suspicions") == 1; }, 4s));
 }
 
 // Another host, which these do not hear, has stored crashes of its own.
@@ -365,10 +373,7 @@
     while (crashes < 2) {
         send(0, "/sell/crash");
     }
-    for (int i = 0; i < 300 && store.count("suspicions") == 0; ++i) {
-        std::this_thread::sleep_for(10ms);
-    }
-    LONGS_EQUAL(1, store.count("suspicions"));
+    CHECK(eventually([&] { return store.count("suspicions") == 1; }));
     std::this_thread::sleep_for(1s); // the writes of the other hosts
     const std::string name = store.names("suspicions").front();
     auto value = store.value("suspicions", name);
@@ -391,9 +396,22 @@
 {
     store.put("suspicions", "00000000000000a7", {{"crashes", "a#1,b#1"}, {"until_ms", 1}});
     start(3, 1);
-    for (int i = 0; i < 300 && store.count("suspicions") > 0; ++i) {
-        std::this_thread::sleep_for(10ms);
+    CHECK(eventually([&] { return store.count("suspicions") == 0; }));
+    LONGS_EQUAL(0, store.unconditional_writes());
+}
+
+// The store comes back from a copy that is older than the crashes.
+TEST(crashing_request_hosts, a_restored_store_lacks_such_a_request)
+{
+    start(3, 12);
+    store.keep_copy();
+    while (crashes < 2) {
+        send(0, "/sell/crash");
     }
+    const auto is_stored = [&] { return store.count("suspicions") > 0; };
+    CHECK(eventually(is_stored));
+    std::this_thread::sleep_for(1s); // the writes of the other hosts
+    store.restore();
     LONGS_EQUAL(0, store.count("suspicions"));
-    LONGS_EQUAL(0, store.unconditional_writes());
+    CHECK(eventually(is_stored));
 }
