Log suspicions that the store did not take

Cause: a call that failed left only a count of calls, so that a store that refuses the hosts' own kinds could not be told from one that was away. Change: suspicion_not_kept names the end, the status and the failures in a row. The hexadecimal text of a fingerprint is made in one place.

--- a/src/admission/quarantine.cpp
+++ b/src/admission/quarantine.cpp
@@ -306,7 +306,7 @@
 {
     peer::fact message;
     message.kind_ = peer::fact_kind::suspicion;
-    message.subject_ = fmt::format("{:016x}", request);
+    message.subject_ = name_of(request);
     message.lifetime_s_ = static_cast<std::uint32_t>(refusal_lifetime.count());
     const auto known = quarantine.suspects_.find(request);
     if (known == quarantine.suspects_.end()) {
@@ -343,6 +343,11 @@
     return changed;
 }
 
+std::string name_of(fingerprint request)
+{
+    return fmt::format("{:016x}", request);
+}
+
 std::optional<fingerprint> fingerprint_of(const peer::fact& suspicion)
 {
     return parse_fingerprint(suspicion.subject_);
--- a/src/admission/quarantine.hpp
+++ b/src/admission/quarantine.hpp
@@ -124,6 +124,10 @@
 // The suspicion as a fact for the peers. Its version counts crashes, cleared ones twice.
 peer::fact suspicion_of(const quarantine&, fingerprint);
 
+// The fingerprint in hexadecimal: the subject of its suspicion, its object's name in the store, and
+// its text in the log.
+std::string name_of(fingerprint);
+
 // The fingerprint that a suspicion is about; none if its subject is malformed.
 std::optional<fingerprint> fingerprint_of(const peer::fact& suspicion);
 
--- a/src/directory/suspicion_keeper.cpp
+++ b/src/directory/suspicion_keeper.cpp
@@ -322,7 +322,17 @@
         : status == call_status::not_found && operation != store::operation::create
             ? write_end::gone
             : write_end::failed;
+    const admission::fingerprint request = kept_.writing_.value_or(0);
     admission::on_write_ended(kept_, end, loop_.now(), random_);
+    if (end != write_end::written && end != write_end::read) {
+        telemetry::decided("suspicion_not_kept", {},
+                           {{"fingerprint", admission::name_of(request)},
+                            {"end", end == write_end::conflict ? "conflict"
+                                    : end == write_end::gone   ? "gone"
+                                                               : "failed"},
+                            {"status", std::to_string(answer.head_.status_)},
+                            {"failures", std::to_string(kept_.failures_)}});
+    }
     if (was_read) {
         read_all({*object});
     }
--- a/src/http/log_fields.cpp
+++ b/src/http/log_fields.cpp
@@ -22,9 +22,4 @@
     return fmt::format("{:g}", limit.per_second_);
 }
 
-std::string log_fingerprint(admission::fingerprint request)
-{
-    return fmt::format("{:016x}", request);
-}
-
 } // namespace savoryscale::http
--- a/src/http/log_fields.hpp
+++ b/src/http/log_fields.hpp
@@ -2,7 +2,6 @@
 
 // Formats values of log fields that several parts of the HTTP task write.
 
-#include "admission/quarantine.hpp"
 #include "base/clock.hpp"
 #include "routing/target.hpp"
 #include "routing/target_limit.hpp"
@@ -18,9 +17,6 @@
 // One target's load as "NAME=IN_FLIGHT/SLOTS*SLOWDOWN ".
 std::string log_load(std::string_view target, const routing::load_report& load);
 
-// A request's fingerprint in hexadecimal.
-std::string log_fingerprint(admission::fingerprint request);
-
 // Requests per second, in as many digits as needed.
 std::string log_limit(const routing::target_limit& limit);
 
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -327,7 +327,7 @@
 {
     http_task_.metrics().quarantined_requests_.Increment();
     telemetry::decided("request_quarantined", request_id_,
-                       {{"fingerprint", log_fingerprint(fingerprint_)}});
+                       {{"fingerprint", admission::name_of(fingerprint_)}});
     const duration left = admission::refusal_left(http_task_.request_quarantine(), fingerprint_,
                                                   http_task_.loop().now());
     refuse({status_unavailable, "not-run", "targets crashed while running this request; change it",
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -324,7 +324,7 @@
                        {{"attempt", std::to_string(attempt.id_)},
                         {"target", attempt.target_name_},
                         {"instance", attempt.instance_},
-                        {"fingerprint", log_fingerprint(fingerprint_)},
+                        {"fingerprint", admission::name_of(fingerprint_)},
                         {"end", std::string{to_string(end)}},
                         {"status", std::to_string(attempt.status_)},
                         {"taken_ms", log_ms(now - attempt.sent_)}});
