Take a reload that is asked for while a host starts

Callers of a host that was reloaded just after its start lost it for the time of another start: the process ended, with nothing in its log.

Cause: SIGHUP had its default effect until the event loop stood, in routed_host's start, after the settings had been read. Change: serve counts SIGHUP from its first step; the loop is woken for signals that came before it. The signals are in a file of their own.

--- a/src/cli/routed_host.cpp
+++ b/src/cli/routed_host.cpp
@@ -1,5 +1,6 @@
 #include "cli/routed_host.hpp"
 
+#include "cli/signals.hpp"
 #include "settings/parse.hpp"
 #include "telemetry/admin_task.hpp"
 #include "telemetry/log.hpp"
@@ -7,9 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <atomic>
 #include <chrono>
-#include <csignal>
 #include <random>
 #include <utility>
 
@@ -33,30 +32,6 @@
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
-// Stop and reload signals not yet handled, and the loop to wake. The signal handler may access only
-// these.
-std::atomic<int> stop_requests = 0;
-std::atomic<int> reload_requests = 0;
-std::atomic<http::event_loop*> loop_to_wake = nullptr;
-
-void on_signal(int number)
-{
-    (number == SIGHUP ? reload_requests : stop_requests).fetch_add(1);
-    if (http::event_loop* loop = loop_to_wake.load(); loop != nullptr) {
-        loop->wake();
-    }
-}
-
-void install_signal_handlers(http::event_loop* loop)
-{
-    loop_to_wake = loop;
-    struct sigaction action {};
-    action.sa_handler = on_signal;
-    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
-        sigaction(number, &action, nullptr);
-    }
-}
-
 // Logs the settings that differ between deployments, so that a log tells under which bounds its
 // host ran.
 void log_settings(const settings::settings& config)
@@ -101,7 +76,7 @@
 
 routed_host::~routed_host()
 {
-    loop_to_wake = nullptr;
+    stop_waking();
     pages_.reset();
     directory_.reset();
     http_task_.reset();
@@ -117,7 +92,7 @@
         return tl::unexpected(loop.error());
     }
     loop_ = std::move(*loop);
-    install_signal_handlers(loop_.get());
+    wake_on_signals(*loop_);
     log_settings(config_);
     http_task_ =
         std::make_unique<http::http_task>(*loop_, config_, metrics_, seed_, http_task_events());
@@ -156,10 +131,10 @@
 void routed_host::on_wake()
 {
     http_task_->run_posted();
-    if (reload_requests.exchange(0) > 0) {
+    if (take_reload_requests() > 0) {
         reload();
     }
-    const int stops = stop_requests.exchange(0);
+    const int stops = take_stop_requests();
     if (stops == 0) {
         return;
     }
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -3,6 +3,7 @@
 #include "cli/command.hpp"
 #include "cli/entry_host.hpp"
 #include "cli/routed_host.hpp"
+#include "cli/signals.hpp"
 #include "directory/dialect.hpp"
 #include "telemetry/log.hpp"
 
@@ -86,6 +87,7 @@
     if (config.directory_) {
         return serve_directory(config, settings_file);
     }
+    reset_reload_signals(); // only hosts that follow a directory reload their settings
     const sigset_t stop_signals = block_signals();
     telemetry::start_logging(config.logging_, std::cerr);
     const int code = run_host(config, stop_signals);
