Let entries of unknown services replace no target

Callers were refused after the next desired state once another writer had put an entry of a service that nobody names at the address of the only target.

Cause: only the latest entry at an address is used, whatever its service (registry, targets_of). Change: an entry counts at its address once the desired state names its service. Evidence: an_entry_of_an_unknown_service_hides_the_target_at_its_address (over sockets) failed before: no target after version 2. It passes now, with the tests of the registry, the feed, restored stores, cut-off hosts and emptied data centres.

--- a/src/directory/directory_task.cpp
+++ b/src/directory/directory_task.cpp
@@ -476,8 +476,14 @@
                              {"routes", std::to_string(state->routes_.size())}});
     version_ = state->version_;
     update_desired_state(feed_, version_, std::move(document));
+    std::set<std::string, std::less<>> services;
+    for (const routes::routed_service& service : state->services_) {
+        services.insert(service.name_);
+    }
+    // Targets may have been published before their service was known.
+    on_services_named(registry_, std::move(services));
     events_.on_desired_state_(std::move(*state));
-    publish_all_targets();
+    publish_target_changes();
     server_.answer_readers();
     return true;
 }
--- a/src/directory/directory_task.hpp
+++ b/src/directory/directory_task.hpp
@@ -128,7 +128,6 @@
     void apply_emptied(emptied_list list, const std::string& source);
     void log_rejected_entry(const std::string& id, const error& reason);
     void publish_target_changes();
-    void publish_all_targets();
     void expire_missing_targets();
 
     http::event_loop& loop_;
--- a/src/directory/directory_task_targets.cpp
+++ b/src/directory/directory_task_targets.cpp
@@ -98,15 +98,6 @@
     }
 }
 
-// A new desired state may add services whose targets were published before the service existed.
-void directory_task::publish_all_targets()
-{
-    for (const auto& [id, known] : registry_.entries_) {
-        registry_.changed_services_.insert(known.entry_.service_);
-    }
-    publish_target_changes();
-}
-
 void directory_task::expire_missing_targets()
 {
     loop_.cancel(std::exchange(expiry_timer_, 0));
--- a/src/directory/registry.cpp
+++ b/src/directory/registry.cpp
@@ -50,11 +50,20 @@
     return {address.ip_, address.port_};
 }
 
-// The latest incarnation at each address across all services; it has replaced the earlier ones.
+bool is_named(const registry& all, const std::string& service)
+{
+    return !all.named_services_ || all.named_services_->count(service) > 0;
+}
+
+// The latest incarnation at each address across the named services; it has replaced the earlier
+// ones.
 std::map<address_key, std::uint64_t> latest_incarnations(const registry& all)
 {
     std::map<address_key, std::uint64_t> latest;
     for (const auto& [id, known] : all.entries_) {
+        if (!is_named(all, known.entry_.service_)) {
+            continue;
+        }
         std::uint64_t& incarnation = latest[key_of(known.entry_.address_)];
         incarnation = std::max(incarnation, known.incarnation_);
     }
@@ -75,6 +84,14 @@
     }
 }
 
+void on_services_named(registry& all, std::set<std::string, std::less<>> services)
+{
+    all.named_services_ = std::move(services);
+    for (const auto& [id, known] : all.entries_) {
+        all.changed_services_.insert(known.entry_.service_);
+    }
+}
+
 void on_entry(registry& all, const target_entry& entry)
 {
     const auto [at, added] = all.entries_.try_emplace(entry.id_);
@@ -148,7 +165,11 @@
     const auto latest = latest_incarnations(all);
     for (const auto& [id, known] : all.entries_) {
         const target_entry& entry = known.entry_;
-        if (entry.service_ != service || latest.at(key_of(entry.address_)) > known.incarnation_) {
+        if (entry.service_ != service) {
+            continue;
+        }
+        const auto at_address = latest.find(key_of(entry.address_));
+        if (at_address != latest.end() && at_address->second > known.incarnation_) {
             continue;
         }
         routing::target_info info;
--- a/src/directory/registry.hpp
+++ b/src/directory/registry.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 // The targets of all services as the store lists them. An entry whose identity changes is a new
-// server, even at a known address; only the latest entry at an address is used.
+// server, even at a known address; only the latest entry at an address is used. An entry of a
+// service that the desired state does not name may be another writer's, and replaces none.
 //
 // During a store outage, entries expire although their targets still run. Entries that are missing
 // when the store recovers are kept for recovery_grace, in which live targets register again. Only
@@ -12,6 +13,7 @@
 #include "routing/target.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -43,6 +45,8 @@
     std::map<std::string, known_entry, std::less<>> entries_; // by id
     std::uint64_t last_incarnation_ = 0;
     std::optional<time_point> store_recovered_at_;
+    // Of the desired state; none before the first one.
+    std::optional<std::set<std::string, std::less<>>> named_services_;
     std::set<std::string> changed_services_;   // whose targets must be published again
     std::vector<target_event> pending_events_; // not yet logged
 };
@@ -50,6 +54,10 @@
 // The complete list was read, oldest entry first.
 void on_list(registry&, std::span<const target_entry> listed, time_point now);
 
+// The desired state names these services. All targets must be published again, since entries of
+// services that it names now or no longer count at their addresses.
+void on_services_named(registry&, std::set<std::string, std::less<>> services);
+
 // One entry was written or removed.
 void on_entry(registry&, const target_entry&);
 void on_removed(registry&, std::string_view id, time_point now);
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -109,6 +109,19 @@
     CHECK(all.changed_services_.count("ledger") > 0);
 }
 
+TEST(registry, an_entry_of_an_unknown_service_replaces_none_until_the_service_is_named)
+{
+    list({entry("i-1", "10.0.0.1")});
+    directory::on_services_named(all, {"ledger"});
+    directory::on_entry(all, entry("i-9", "10.0.0.1", "photos"));
+    LONGS_EQUAL(1, usable("ledger"));
+    all.changed_services_.clear();
+    directory::on_services_named(all, {"ledger", "photos"});
+    CHECK(all.changed_services_.count("ledger") > 0);
+    LONGS_EQUAL(0, usable("ledger"));
+    LONGS_EQUAL(1, usable("photos"));
+}
+
 TEST(registry, records_joined_leaving_and_gone_targets)
 {
     list({entry("i-1", "10.0.0.1")});
--- a/tests/routed_host_test.cpp
+++ b/tests/routed_host_test.cpp
@@ -302,6 +302,22 @@
     CHECK(contains(send_and_read_answer(host.port(), lookup), " 503 "));
 }
 
+// An entry of another writer names no target, and the others hold.
+TEST(routed_host, an_entry_of_an_unknown_service_hides_the_target_at_its_address)
+{
+    sealing_target target{sealed_ok};
+    store.put("servers", "i-1", server_json(target.port()));
+    publish(1);
+    running_routed_host host{store.port()};
+    CHECK(host.reaches(1, 1));
+    store.put("servers", "foreign", server_json(target.port(), "unheard-of"));
+    store.put("servers", "i-2", server_json(1, "photos"));
+    CHECK(host.reaches(1, 1, "photos")); // both have been read
+    publish(2);                          // all targets are published again
+    CHECK(host.reaches(2, 1));
+    CHECK(contains(send_and_read_answer(host.port(), lookup), "done"));
+}
+
 TEST(routed_host, a_request_body_over_the_limit_is_refused)
 {
     sealing_target target{sealed_ok};
