Count a request of the soak's flood once, however often it is sent

Cause: the check of allotments counted arrivals at targets. By the users' rules a request is one attempt of a caller with its own id, and an allotment bounds the requests that run; a second send of one is bounded by the retry budget. The hosts charge an allotment once a request (check_allotment, before the first send). Change: the check counts different requests in each window of the same length against the same bound, and logs requests and sends.

--- a/soak/terms.py
+++ b/soak/terms.py
@@ -16,6 +16,14 @@
 STATUS_UNAUTHORIZED = "401"
 
 
+def most_requests(arrivals, window_s):
+    """The most requests in any window, by (time, attempt id). A second send is the same request of its caller, for which
+    its organisation was charged once."""
+    arrivals = sorted(arrivals)
+    return max((len({name for at, name in arrivals if began <= at < began + window_s}) for began, _ in arrivals),
+               default=0)
+
+
 class Terms:
     """Part of a run; see soak.py."""
 
@@ -77,11 +85,12 @@
                     self.ask(self.random_host(), f"flood{self.now():.6f}", "key-flooded")))
                 await asyncio.sleep(1 / FLOOD_PER_S)
             await asyncio.gather(*asked)
-            times = sorted(at for target in self.targets for at, name in target.arrivals
-                           if name.startswith("flood") and at >= began)
+            arrivals = [(at, name) for target in self.targets for at, name in target.arrivals
+                        if name.startswith("flood") and at >= began]
             allowed = (FLOODED["rate_per_s"] * WINDOW_S + FLOODED["burst"]) * (1 + OVERAGE) + SLACK
-            most = max((sum(at <= each < at + WINDOW_S for each in times) for at in times), default=0)
-            self.log_event(f"flood: {len(asked)} sent, {len(times)} ran, {most} in {WINDOW_S} s")
+            most = most_requests(arrivals, WINDOW_S)
+            self.log_event(f"flood: {len(asked)} sent, {len({name for _, name in arrivals})} ran in {len(arrivals)} "
+                           f"sends, {most} in {WINDOW_S} s")
             if most > allowed:
                 self.add_finding(f"{most} requests of one organisation ran in {WINDOW_S} s; {allowed:.0f} may")
 
