Let conflicts over suspicions delay no other write

Cause: a conflict counts as a failed call, and after five in a row a host waited for one to two minutes, although the conflict shows that the store takes writes: a host of the feed that comes second for five suspicions wrote its sixth late. Change: a suspicion that is read in the store as this host knows it ends the series of failures. Evidence: conflicts_with_a_host_that_was_first_delay_no_other_write, without a network, failed before and passes now, with the other tests of kept suspicions and of crashing requests over sockets.

--- a/src/admission/kept_suspicions.cpp
+++ b/src/admission/kept_suspicions.cpp
@@ -71,6 +71,9 @@
     kept_suspicion& known = kept.entries_[request];
     known.stored_version_ = version;
     known.stored_revision_ = revision;
+    if (version >= known.fact_.version_) {
+        kept.failures_ = 0; // another host has written it: the store takes suspicions
+    }
 }
 
 void forget_stored(kept_suspicions& kept)
--- a/tests/kept_suspicions_test.cpp
+++ b/tests/kept_suspicions_test.cpp
@@ -157,6 +157,25 @@
     LONGS_EQUAL(5, all.stored_[7].version_);
 }
 
+// Another host of the feed has written ten of eleven suspicions.
+TEST(kept_suspicions, conflicts_with_a_host_that_was_first_delay_no_other_write)
+{
+    for (fingerprint request = 1; request <= 11; ++request) {
+        on_suspicion_changed(kept, suspicion(request, "a#1,b#1"), true, now);
+    }
+    bool written = false;
+    for (const time_point until = now + 1s; now < until; now += 10ms) {
+        if (next_write(kept, keeper_role::feed, now) == nullptr) {
+            continue;
+        }
+        const fingerprint request = *kept.writing_;
+        written = request == 11;
+        on_write_ended(kept, written ? write_end::written : write_end::conflict, now, random);
+        on_kept_read(kept, request, 2, 40 + request);
+    }
+    CHECK(written);
+}
+
 // A data centre's targets crash at once, with one request of each host in flight.
 TEST(kept_suspicions, each_of_many_hosts_writes_once_a_second_at_most)
 {
