Replace an object of a suspicion whose time is over

Cause: a lone host took such an object, or one that cannot be read, for a stored crash, and did not write the first crash that it saw of the same request. Change: an object counts as stored only while it is in force; it is replaced at its revision. Evidence: an_object_that_names_no_crash_is_replaced, without a network, failed before; it passes now, as do the other 10 of kept suspicions and all 15 of crashing requests over sockets.

--- a/src/admission/kept_suspicions.cpp
+++ b/src/admission/kept_suspicions.cpp
@@ -71,7 +71,7 @@
     kept_suspicion& known = kept.entries_[request];
     known.stored_version_ = version;
     known.stored_revision_ = revision;
-    if (version >= known.fact_.version_) {
+    if (version > 0 && version >= known.fact_.version_) {
         kept.failures_ = 0; // another host has written it: the store takes suspicions
     }
 }
@@ -104,9 +104,9 @@
 
 write_call call_for(const kept_suspicion& due)
 {
-    return due.stored_version_ == 0    ? write_call::create
-           : due.stored_revision_ == 0 ? write_call::read
-                                       : write_call::replace;
+    return due.stored_revision_ > 0  ? write_call::replace
+           : due.stored_version_ > 0 ? write_call::read
+                                     : write_call::create;
 }
 
 void on_write_ended(kept_suspicions& kept, write_end end, time_point now, random_source& random)
--- a/src/admission/kept_suspicions.hpp
+++ b/src/admission/kept_suspicions.hpp
@@ -46,7 +46,8 @@
 // A suspicion is new or has changed. `raised_here`: not because another host or the store told it.
 void on_suspicion_changed(kept_suspicions&, const peer::fact&, bool raised_here, time_point now);
 
-// The store's object of this revision has this version; 0: it was removed.
+// The store's object of this revision has this version. Version 0: it cannot be read or its time is
+// over; both 0: it was removed.
 void on_kept_read(kept_suspicions&, fingerprint, std::uint64_t version, std::uint64_t revision);
 
 // Nothing is known of the store's objects any more: it has come back from an older copy, or its
--- a/src/directory/suspicion_keeper.cpp
+++ b/src/directory/suspicion_keeper.cpp
@@ -170,9 +170,7 @@
                           value.contains(until_field) && value[crashes_field].is_string() &&
                           value[until_field].is_number_unsigned();
     if (!readable) {
-        // One that cannot be read is replaced as one that names a crash nobody knows.
-        const std::uint64_t version = object.removed_ ? 0 : 1;
-        admission::on_kept_read(kept_, *request, version, object.revision_);
+        admission::on_kept_read(kept_, *request, 0, object.removed_ ? 0 : object.revision_);
         return;
     }
     known.payload_ = value[crashes_field].get<std::string>();
@@ -182,7 +180,7 @@
                                 static_cast<std::uint64_t>((wall_now() + lifetime_max).count()))};
     const milliseconds left = until - wall_now();
     if (!admission::is_valid(known) || left < std::chrono::seconds{1}) {
-        admission::on_kept_read(kept_, *request, 1, object.revision_);
+        admission::on_kept_read(kept_, *request, 0, object.revision_);
         if (left < -outdated_margin && outdated_.size() < outdated_max) {
             outdated_.push_back(object);
         }
--- a/tests/kept_suspicions_test.cpp
+++ b/tests/kept_suspicions_test.cpp
@@ -200,6 +200,16 @@
     CHECK(next_write(kept, keeper_role::lone, now) != nullptr); // it saw one of them
 }
 
+// Such as one whose time is over, or that another writer has made.
+TEST(kept_suspicions, an_object_that_names_no_crash_is_replaced)
+{
+    on_kept_read(kept, 1, 0, 40);
+    on_suspicion_changed(kept, suspicion(1, "a#1"), true, now);
+    const kept_suspicion* due = next_write(kept, keeper_role::lone, now);
+    CHECK(due != nullptr);
+    CHECK(call_for(*due) == write_call::replace);
+}
+
 TEST(kept_suspicions, a_cleared_suspicion_replaces_the_one_in_the_store)
 {
     on_kept_read(kept, 1, 2, 40);
