--- a/src/organisations/allotment_use.cpp
+++ b/src/organisations/allotment_use.cpp
@@ -73,16 +73,17 @@
            hosts_of(use);
 }
 
-// Between two reports no more is let through unheard than this host's part of what is left at least
-// while the limit is not near, and of what comes since. At least one request is.
+// Between two reports a host lets through unheard no more than its part of what is left at least
+// while the limit is not near, of what may be too much, and of what has come since the last answer;
+// but one request always.
 bool is_beyond_part(const allotment_use& use, const own_use& own, const allotment& limit,
                     time_point now)
 {
     const double spare = spare_of(limit, use.bounds_);
-    const double all = near_limit_part * (limit.burst_ + saved_part * spare) +
-                       unheard_part * spare +
-                       seconds_of(now - *use.answered_at_) * limit.per_second_;
-    return own.unreported_ + own.sending_ > all / hosts_of(use);
+    const double left = near_limit_part * (limit.burst_ + saved_part * spare);
+    const double come = seconds_of(now - *use.answered_at_) * limit.per_second_;
+    const double part = (left + unheard_part * spare + come) / hosts_of(use);
+    return own.unreported_ + own.sending_ > part;
 }
 
 } // namespace
