--- a/tests/allotments_test.cpp
+++ b/tests/allotments_test.cpp
@@ -229,8 +229,8 @@
     }
 }
 
-// Load: from one moment to the next so many requests that all of the allotment and more is asked for
-// between two reports of a host.
+// Load: from one moment to the next so many requests that all of the allotment and more is asked
+// for between two reports of a host.
 TEST(allotments, an_excess_between_two_reports_is_held_within_the_bound)
 {
     for (const std::size_t hosts : {5, 13, 122}) {
