--- a/src/admission/kept_suspicions.hpp
+++ b/src/admission/kept_suspicions.hpp
@@ -22,8 +22,8 @@
 struct kept_suspicion {
     peer::fact fact_; // as this host knows it
     time_point expires_at_{};
-    std::uint64_t stored_version_ = 0;  // of the store's object, as far as known; 0: there is none
-    std::uint64_t stored_revision_ = 0; // at which that object was read; 0: not known
+    std::uint64_t stored_version_ = 0;  // of the store's object, as far as known; 0: none in force
+    std::uint64_t stored_revision_ = 0; // at which that object was read; 0: not known, or no object
     bool raised_here_ = false;          // this host saw a crash of it
 };
 
