Take an answer whose status does not exist as broken

Callers saw: nothing until the deadline after a target's answer with the status 000 (504 after 2.0 s in the test), and the answers with 600 and 999 as they were. Cause: the reader of answers took any three digits as a status. upstream_connection dropped every status under 200 as an informational answer and read what followed as the next one. Change: the reader, which all answers of targets, hosts and the store pass through, rejects statuses outside of 100 to 599. The attempt ends as broken at once, the connection is closed, and a request that may be repeated goes to another target.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -15,6 +15,13 @@
 
 namespace detail {
 
+inline bool is_broken_status(int status)
+{
+    constexpr int first = 100;
+    constexpr int last = 599;
+    return status < first || status > last;
+}
+
 // Stores the output of the Boost.Beast parser in a Head and a body string.
 template<class Head>
 class message_parser : public beast::http::basic_parser<std::is_same_v<Head, request_head>> {
@@ -47,9 +54,13 @@
         }
     }
 
-    void on_response_impl(int code, string_view reason, int version, error_code& /*ec*/) override
+    void on_response_impl(int code, string_view reason, int version, error_code& ec) override
     {
         if constexpr (!is_request) {
+            if (is_broken_status(code)) {
+                ec = beast::http::error::bad_status;
+                return;
+            }
             head_.status_ = code;
             head_.reason_.assign(reason.data(), reason.size());
             head_.version_ = static_cast<unsigned>(version);
--- a/tests/message_reader_test.cpp
+++ b/tests/message_reader_test.cpp
@@ -82,6 +82,20 @@
     CHECK(fed.error().kind_ == savoryscale::error_kind::exhausted);
 }
 
+TEST(message_reader, rejects_a_status_that_does_not_exist)
+{
+    for (const char* status : {"000", "001", "099", "600", "999"}) {
+        message_reader<answer_head> reader{header_limit};
+        std::string body;
+        CHECK_TEXT(!reader.feed(std::string{"HTTP/1.1 "} + status + " X\r\n\r\n", body), status);
+    }
+    for (const char* status : {"100", "199", "299", "599"}) {
+        message_reader<answer_head> reader{header_limit};
+        read_in_steps(reader, std::string{"HTTP/1.1 "} + status + " X\r\n\r\n", 3);
+        CHECK_TEXT(reader.has_head(), status);
+    }
+}
+
 // Load: uploads and trailers that come in large reads, on many connections that stay open.
 TEST(message_reader, keeps_no_room_of_large_reads)
 {
