Take an answer that cannot be framed as broken

Callers saw: the body of an informational answer as the target's answer, where it looked like one; the answer that followed an unasked 101, though the connection speaks another protocol then; a 204 with a length, as a 204 that announces content. Cause: the reader ends 1xx, 101 and 204 after their head, as it must, and did not look at what they announce. Bytes that the target sends all the same stood where the next answer was expected. Change: the reader rejects content announced with a status that has none, and 101, since a host never asks for another protocol. Nothing is known then of where the next answer begins, so the attempt ends as broken and the connection is closed. Evidence: broken_answers.content_or_another_protocol_after_a_status_that_has_none and message_reader.rejects_content_after_a_status_that_has_none failed before and pass now. sound_answers_are_passed_on (a 100 or 103 without content, one with an empty body) passed before and now.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -15,11 +15,22 @@
 
 namespace detail {
 
+// Statuses that no answer has, or none that is expected: hosts ask for no other protocol.
 inline bool is_broken_status(int status)
 {
     constexpr int first = 100;
     constexpr int last = 599;
-    return status < first || status > last;
+    constexpr int switching_protocols = 101;
+    return status < first || status > last || status == switching_protocols;
+}
+
+// Whether answers with the status end after their head and must not announce content (RFC 9112, 6.1
+// and 6.2). A sender that announces some may send it, where the next answer is expected.
+inline bool forbids_content(int status)
+{
+    constexpr int first_final = 200;
+    constexpr int no_content = 204;
+    return status < first_final || status == no_content;
 }
 
 // Stores the output of the Boost.Beast parser in a Head and a body string.
@@ -90,13 +101,20 @@
                                  std::string{value.data(), value.size()}});
     }
 
-    void on_header_impl(error_code& /*ec*/) override
+    void on_header_impl(error_code& ec) override
     {
         head_.chunked_ = this->chunked();
         head_.keep_alive_ = this->keep_alive();
         if (this->content_length()) {
             head_.content_length_ = *this->content_length();
         }
+        if constexpr (!is_request) {
+            if (forbids_content(head_.status_) &&
+                (transfer_encodings_ > 0 || head_.content_length_.value_or(0) > 0)) {
+                ec = beast::http::error::unexpected_body;
+                return;
+            }
+        }
         head_done_ = true;
     }
 
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -59,6 +59,22 @@
     return all;
 }
 
+// After these it is not known where the next answer begins.
+std::vector<reply> replies_without_framing()
+{
+    return {
+        {"100 with a length", "HTTP/1.1 100 X\r\nContent-Length: 6\r\n\r\nbroken" + final_answer},
+        {"100 with an answer as its body",
+         fmt::format("HTTP/1.1 100 X\r\nContent-Length: {}\r\n\r\n{}", final_answer.size(),
+                     final_answer)},
+        {"103 in chunks", "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n" + final_answer},
+        {"101 that was not asked for", "HTTP/1.1 101 X\r\nUpgrade: other\r\n\r\n" + final_answer},
+        {"204 with a length", with_status("204", final_answer)},
+        {"204 in chunks",
+         "HTTP/1.1 204 X\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + final_answer},
+    };
+}
+
 std::vector<reply> replies_with_broken_fields()
 {
     std::vector<reply> all;
@@ -76,6 +92,23 @@
     return all;
 }
 
+// Sound, and unusual.
+std::vector<reply> sound_replies()
+{
+    const std::string sound = ok_answer("sound", fields);
+    return {
+        {"100", "HTTP/1.1 100 Continue\r\n\r\n" + sound},
+        {"103 with a field", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sound},
+        {"100 with an empty body", "HTTP/1.1 100 X\r\nContent-Length: 0\r\n\r\n" + sound},
+        {"no reason", "HTTP/1.1 200 \r\n" + fields + "Content-Length: 5\r\n\r\nsound"},
+        {"bytes over 127",
+         "HTTP/1.1 200 \xfc\r\nX: \xfc\r\n" + fields + "Content-Length: 5\r\n\r\nsound"},
+        {"extension and trailer", "HTTP/1.1 200 OK\r\n" + fields +
+                                      "Transfer-Encoding: chunked\r\n\r\n"
+                                      "5;a=b\r\nsound\r\n0\r\nX: y\r\n\r\n"},
+    };
+}
+
 // Targets that answer soundly, unless told to send something else.
 class replying_targets {
 public:
@@ -196,6 +229,26 @@
     }
 }
 
+TEST(broken_answers, content_or_another_protocol_after_a_status_that_has_none)
+{
+    for (const reply& each : replies_without_framing()) {
+        check_is_broken(each);
+    }
+}
+
+TEST(broken_answers, sound_answers_are_passed_on)
+{
+    for (const reply& each : sound_replies()) {
+        replying_targets targets{each.bytes_};
+        publish(targets);
+        running_routed_host host{store.port()};
+        CHECK(host.reaches(1, 2));
+        targets.break_next(1);
+        const std::string answer = answer_at_once(host, sale);
+        CHECK_TEXT(is_sound(answer), each.name_.c_str());
+    }
+}
+
 TEST(broken_answers, a_field_whose_name_is_no_token)
 {
     for (const reply& each : replies_with_broken_fields()) {
--- a/tests/message_reader_test.cpp
+++ b/tests/message_reader_test.cpp
@@ -96,6 +96,25 @@
     }
 }
 
+TEST(message_reader, rejects_content_after_a_status_that_has_none)
+{
+    for (const char* head :
+         {"100 X\r\nContent-Length: 1\r\n\r\n", "103 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "204 X\r\nContent-Length: 1\r\n\r\n", "204 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "101 X\r\nUpgrade: other\r\n\r\n"}) {
+        message_reader<answer_head> reader{header_limit};
+        std::string body;
+        CHECK_TEXT(!reader.feed(std::string{"HTTP/1.1 "} + head, body), head);
+    }
+    // The length is that of the answer to another request (RFC 9110, 8.6).
+    for (const char* head :
+         {"204 X\r\nContent-Length: 0\r\n\r\n", "304 X\r\nContent-Length: 9\r\n\r\n"}) {
+        message_reader<answer_head> reader{header_limit};
+        read_in_steps(reader, std::string{"HTTP/1.1 "} + head, 3);
+        CHECK_TEXT(reader.complete(), head);
+    }
+}
+
 // Load: uploads and trailers that come in large reads, on many connections that stay open.
 TEST(message_reader, keeps_no_room_of_large_reads)
 {
