Test broken answers at the other readers

The span exporter counts 2xx as taken and nothing else, by reading. The feed's client, the grants and the reports between hosts read with the same reader and take 200 only.

--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view lookup = "GET /look/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 11\r\n\r\n";
 constexpr std::string_view sale = "POST /sell/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 11\r\n"
                                   "Content-Length: 4\r\n\r\nsold";
+constexpr std::string_view lookup_and_close =
+    "GET /look/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 11\r\nConnection: close\r\n\r\n";
 const std::string fields = "X-Id: 11\r\nX-Seal: s\r\n";
 const std::string final_answer = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 6\r\n\r\nbroken";
 
@@ -92,6 +94,30 @@
     return all;
 }
 
+// The target was asked for something else on the same connection before.
+std::vector<reply> replies_after_a_late_answer()
+{
+    const std::string late = "HTTP/1.1 200 OK\r\nX-Id: 9\r\nX-Seal: s\r\n";
+    return {
+        {"late, then 000", late + "Content-Length: 4\r\n\r\nlate" + with_status("000")},
+        {"late, in broken chunks", late + "Transfer-Encoding: chunked\r\n\r\nzz\r\nlate\r\n"},
+        {"late, with a broken field", late + "X Y: 1\r\nContent-Length: 4\r\n\r\nlate"},
+        {"late, with 999", "HTTP/1.1 999 X\r\nX-Id: 9\r\nContent-Length: 0\r\n\r\n"},
+    };
+}
+
+// Answers without content, and bytes after them.
+std::vector<reply> replies_with_surplus()
+{
+    const std::string sound = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nsound";
+    return {
+        {"an answer, then 000", sound + with_status("000")},
+        {"an answer, then another", sound + final_answer},
+        {"204 with content", "HTTP/1.1 204 X\r\n" + fields + "\r\n" + final_answer},
+        {"304 with content", with_status("304", final_answer)},
+    };
+}
+
 // Sound, and unusual.
 std::vector<reply> sound_replies()
 {
@@ -220,6 +246,25 @@
         CHECK_TEXT(targets.are_closed_by_host(2), name);
         DOUBLES_EQUAL_TEXT(2, attempts(host, routing::attempt_end::broken), 0, name);
     }
+
+    // The connection is not used again, so that no later request gets the surplus either.
+    void check_surplus_is_dropped(const reply& sent, std::string_view request)
+    {
+        const char* const name = sent.name_.c_str();
+        replying_targets targets{sent.bytes_};
+        publish(targets);
+        running_routed_host host{store.port()};
+        CHECK(host.reaches(1, 2));
+        targets.break_next(1);
+        test_client caller{host.port()};
+        caller.send(request);
+        caller.send(lookup_and_close);
+        const std::string answers = caller.read_to_end();
+        CHECK_TEXT(answers.find("broken") == std::string::npos, name);
+        CHECK_TEXT(answers.find("000") == std::string::npos, name);
+        CHECK_TEXT(is_sound(answers.substr(answers.rfind("HTTP/1.1 "))), name);
+        CHECK_TEXT(targets.are_closed_by_host(1), name);
+    }
 };
 
 TEST(broken_answers, a_status_that_does_not_exist)
@@ -236,6 +281,74 @@
     }
 }
 
+TEST(broken_answers, a_late_answer_that_is_broken)
+{
+    for (const reply& each : replies_after_a_late_answer()) {
+        check_is_broken(each);
+    }
+}
+
+TEST(broken_answers, bytes_after_an_answer_are_passed_on)
+{
+    for (const reply& each : replies_with_surplus()) {
+        check_surplus_is_dropped(each, sale);
+    }
+    const std::string_view head_only =
+        "HEAD /look/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 11\r\n\r\n";
+    check_surplus_is_dropped({"content after HEAD", with_status("200", final_answer)}, head_only);
+}
+
+// A status check proves nothing if it is broken.
+TEST(broken_answers, a_target_whose_status_check_is_broken_gets_requests)
+{
+    for (const char* status : {"000", "600"}) {
+        fake_upstream failing{[&](script_connection& connection, int) {
+            while (!connection.read_request().empty()) {
+                connection.send(fmt::format("HTTP/1.1 {} X\r\nX-Load: 0,0,2,100\r\n"
+                                            "Content-Length: 0\r\n\r\n",
+                                            status));
+            }
+        }};
+        replying_targets targets{""};
+        publish(targets);
+        store.put("servers", "i-3", server_json(failing.port()));
+        running_routed_host host{store.port()};
+        CHECK(host.reaches(1, 3));
+        for (int i = 0; i < 20; ++i) {
+            CHECK_TEXT(is_sound(answer_at_once(host, lookup)), status);
+        }
+        LONGS_EQUAL_TEXT(20, targets.requests(), status);
+        store.remove("servers", "i-3");
+    }
+}
+
+// A list without objects would take all targets and routes away.
+TEST(broken_answers, broken_answers_of_the_store_change_nothing)
+{
+    replying_targets targets{""};
+    publish(targets);
+    running_routed_host host{store.port()};
+    CHECK(host.reaches(1, 2));
+    const std::string empty_list =
+        R"({"items":[],"events":[],"has_more":false,"store_revision":99})";
+    for (const char* status : {"000", "099", "101", "204", "304", "600"}) {
+        const int before = store.calls();
+        store.set_answer(with_status(status, empty_list));
+        for (int i = 0; i < 600 && store.calls() < before + 4; ++i) {
+            std::this_thread::sleep_for(10ms);
+        }
+        CHECK_TEXT(store.calls() >= before + 4, status);
+        host.run([&](http::http_task& task) {
+            LONGS_EQUAL_TEXT(2, task.target_count("ledger"), status);
+            LONGS_EQUAL_TEXT(1, task.routes()->state_.version_, status);
+        });
+        CHECK_TEXT(is_sound(answer_at_once(host, lookup)), status);
+    }
+    store.set_answer({});
+    store.put("config", "main", state_json(2, {route_json("look", "/look/", "safe", "ledger")}));
+    CHECK(host.reaches(2, 2));
+}
+
 TEST(broken_answers, sound_answers_are_passed_on)
 {
     for (const reply& each : sound_replies()) {
--- a/tests/cut_off_host_test.cpp
+++ b/tests/cut_off_host_test.cpp
@@ -59,6 +59,11 @@
                 connection.wait_for_close();
                 return;
             }
+            if (request.find("/broken/") != std::string::npos) {
+                connection.send("HTTP/1.1 000 X\r\nContent-Length: 6\r\n\r\nbroken");
+                connection.wait_for_close();
+                return;
+            }
             {
                 const std::lock_guard lock{mutex_};
                 repeated_ += runs_.count(field_of(request, "X-Id")) > 0 ? 1 : 0;
@@ -256,6 +261,22 @@
     }
 }
 
+TEST(cut_off_host, a_broken_answer_ends_at_once_through_another_host)
+{
+    start(4);
+    cut(0, path_cut::reset);
+    call_for(0, 3s);
+    for (const char* path : {"/look/broken/", "/sell/broken/"}) {
+        const auto before = handed_on();
+        const time_point began = monotonic_now();
+        const std::string answer = call(0, path, "");
+        CHECK_TEXT(monotonic_now() - began < 500ms, path);
+        CHECK_TEXT(answer.starts_with("HTTP/1.1 502 "), path);
+        CHECK_TEXT(answer.find("broken") == std::string::npos, path);
+        CHECK_TEXT(handed_on() > before, path);
+    }
+}
+
 TEST(cut_off_host, callers_wait_where_no_host_reaches_a_target)
 {
     start(4);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -3,6 +3,7 @@
 #include "store/http_host_list_client.hpp"
 #include "store/http_object_client.hpp"
 #include "store/status_record.hpp"
+#include "support/fake_upstream.hpp"
 #include "support/running_platform.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -135,6 +136,22 @@
     CHECK_EQUAL(std::string{"one"}, run(operation::get, "a").objects_.at(0).value_);
 }
 
+TEST(object_client, a_broken_answer_is_unknown)
+{
+    for (const char* head : {"000 X", "099 X", "600 X", "101 X", "200 OK\r\nX Y: 1"}) {
+        testing::fake_upstream broken{[&](testing::script_connection& connection, int) {
+            connection.read_request();
+            connection.send(std::string{"HTTP/1.1 "} + head + "\r\nContent-Length: 2\r\n\r\n{}");
+            connection.wait_for_close();
+        }};
+        http_object_client client{
+            {{"127.0.0.1", broken.port()}}, {1000, milliseconds{1}, milliseconds{1}}, 5};
+        const auto reply =
+            call_and_wait(client, {operation::create, "a", "one", 0, milliseconds{500}, {}});
+        CHECK_TEXT(reply.status_ == call_status::unknown, head);
+    }
+}
+
 TEST(object_client, a_call_without_a_connection_is_not_sent)
 {
     platform_.change(R"({"down": true})");
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -69,6 +69,14 @@
         changed_.notify_all();
     }
 
+    // Sends these bytes in answer to every call, also to those that wait; empty: answers itself.
+    void set_answer(std::string bytes)
+    {
+        const std::lock_guard lock{mutex_};
+        set_answer_ = std::move(bytes);
+        changed_.notify_all();
+    }
+
     // Refuses every call for objects of this kind with 503, except those that wait already.
     void refuse_kind(const std::string& kind)
     {
@@ -164,8 +172,8 @@
                 return;
             }
             ++calls_;
-            if (is_unavailable()) {
-                connection.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+            if (const std::string fixed = fixed_answer(); !fixed.empty()) {
+                connection.send(fixed);
                 continue;
             }
             const int restorations = restorations_;
@@ -203,8 +211,8 @@
                 ++lists_;
                 std::this_thread::sleep_for(list_delay_.load());
             }
-            connection.send(is_unavailable() ? "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
-                                             : ok_answer(body, era_field()));
+            const std::string fixed = fixed_answer();
+            connection.send(fixed.empty() ? ok_answer(body, era_field()) : fixed);
         }
     }
 
@@ -280,10 +288,11 @@
         return era.empty() ? "" : fmt::format("Store-Era: {}\r\n", era);
     }
 
-    bool is_unavailable()
+    // What every call is answered with; empty: it is carried out.
+    std::string fixed_answer()
     {
         const std::lock_guard lock{mutex_};
-        return unavailable_;
+        return unavailable_ ? "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" : set_answer_;
     }
 
     bool is_refused(const std::string& kind)
@@ -322,7 +331,8 @@
                     events.push_back({{"object", each.object_}, {"deleted", each.deleted_}});
                 }
             }
-            return closing_ || unavailable_ || !events.empty() || restorations_ != before;
+            return closing_ || unavailable_ || !set_answer_.empty() || !events.empty() ||
+                   restorations_ != before;
         });
         return nlohmann::json{{"events", events}, {"store_revision", revision_}}.dump();
     }
@@ -332,6 +342,7 @@
     bool closing_ = false;
     bool unavailable_ = false;
     std::string refused_kind_;
+    std::string set_answer_;
     std::atomic<int> calls_ = 0;
     std::atomic<int> writes_ = 0;
     std::atomic<int> unconditional_writes_ = 0;
