--- /dev/null
+++ b/fuzz/answer_fuzz.cpp
@@ -0,0 +1,9 @@
+// Fuzzes the reader of answers: whole, and cut into pieces, which must read the same.
+
+#include "read_messages.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    savoryscale::fuzz::check_reading<savoryscale::http::answer_head>(data, size);
+    return 0;
+}
