Refuse a request that crashes targets to all of its callers

Callers saw: targets that went on crashing. Cause: the caller's address, and the idempotency key, are part of the fingerprint. Change: a crash counts a second time, under a fingerprint of the content: method, path, organisation and first bytes of the body. Content is refused to all callers after the third crash, for eight to sixteen seconds, and after the fourth for ten minutes. Any caller's completed run clears it, also one of the two seconds before a host hears of the suspicion; the caller's own request is still cleared by that caller's runs only (another_callers_run_clears_a_request_that_crashes_targets holds). Evidence: crashing_request_hosts.a_request_of_many_callers_crashes_targets_of_each (17 crashes before; 3) and such_a_request_is_another_one_with_another_key (8; 2 or 3) failed before. In virtual time, at 13 to 1,000 hosts: one late send at most after the third crash (3 allowed), and harmless content beside a killer or beside other crashes is refused for no longer than 1 s; without recent runs that fails at 1,000 hosts (11.8 s).

--- a/src/admission/quarantine.cpp
+++ b/src/admission/quarantine.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr char cleared_mark = '!';
+constexpr char content_mark = '*'; // before the names of crashes of content
 constexpr char separator = ',';
 constexpr std::size_t crash_name_max = 128; // bytes
 constexpr int hexadecimal = 16;
@@ -23,6 +24,26 @@
         std::count_if(suspect.crashes_.begin(), suspect.crashes_.end(), is_uncleared));
 }
 
+std::uint32_t refused_at(const suspect& suspect)
+{
+    return suspect.scope_ == suspect_scope::content ? content_crashes_until_refused
+                                                    : crashes_until_refused;
+}
+
+std::uint32_t confirmed_at(const suspect& suspect)
+{
+    return suspect.scope_ == suspect_scope::content ? content_crashes_until_confirmed
+                                                    : crashes_until_confirmed;
+}
+
+// Whether the suspect, if it is one, must run alone.
+bool must_run_alone(const suspect* suspect)
+{
+    const std::uint32_t crashes = suspect == nullptr ? 0 : uncleared_crashes(*suspect);
+    return crashes > 0 &&
+           (suspect->scope_ == suspect_scope::caller || crashes >= refused_at(*suspect));
+}
+
 const suspect* find_suspect(const quarantine& quarantine, fingerprint request, time_point now)
 {
     const auto found = quarantine.suspects_.find(request);
@@ -39,12 +60,16 @@
 }
 
 // `longest`: what a peer's news of it allows.
-void extend(suspect& suspect, time_point now, duration longest = duration::max())
+void extend(const quarantine& quarantine, suspect& suspect, time_point now,
+            duration longest = duration::max())
 {
     const std::uint32_t crashes = uncleared_crashes(suspect);
-    const duration refusal = crashes >= crashes_until_confirmed ? duration{refusal_lifetime}
-                             : crashes >= crashes_until_refused ? duration{short_refusal_lifetime}
-                                                                : duration::zero();
+    const duration delay =
+        suspect.scope_ == suspect_scope::content ? quarantine.content_delay_ : duration::zero();
+    const duration refusal = crashes >= confirmed_at(suspect) ? duration{refusal_lifetime}
+                             : crashes >= refused_at(suspect)
+                                 ? duration{short_refusal_lifetime} + delay
+                                 : duration::zero();
     suspect.refused_until_ = std::max(suspect.refused_until_, now + std::min(refusal, longest));
     const duration lifetime = std::min<duration>(refusal + suspicion_lifetime, longest);
     suspect.expires_at_ = std::max(suspect.expires_at_, now + lifetime);
@@ -94,32 +119,20 @@
 
 // Adds a crash unless it is known. A run that began after the last known crash of this target means
 // a new crash.
-void add_crash(suspect& suspect, std::string_view target, time_point on_request_sent,
+void add_crash(suspect& suspect, std::string_view target, const running_request& run,
                time_point now)
 {
+    suspect.scope_ = run.scope_;
+    const std::string mark(run.scope_ == suspect_scope::content ? 1 : 0, content_mark);
     for (std::size_t count = 1; has_room(suspect); ++count) {
-        const auto [place, added] =
-            suspect.crashes_.try_emplace(fmt::format("{}#{}", target, count), crash{false, now});
-        if (added || on_request_sent <= place->second.received_at_) {
+        const auto [place, added] = suspect.crashes_.try_emplace(
+            fmt::format("{}{}#{}", mark, target, count), crash{false, now});
+        if (added || run.started_at_ <= place->second.received_at_) {
             return;
         }
     }
 }
 
-bool clear(quarantine& quarantine, fingerprint request)
-{
-    std::erase_if(quarantine.unanswered_,
-                  [request](const auto& one) { return one.run_.request_ == request; });
-    const auto found = quarantine.suspects_.find(request);
-    if (found == quarantine.suspects_.end() || uncleared_crashes(found->second) == 0) {
-        return false;
-    }
-    for (auto& [name, crash] : found->second.crashes_) {
-        crash.cleared_ = true;
-    }
-    return true;
-}
-
 struct named_crash {
     std::string_view name_;
     bool cleared_ = false;
@@ -164,6 +177,9 @@
             return false;
         }
         suspect.crashes_.emplace(received.name_, crash{received.cleared_, now});
+        if (received.name_.front() == content_mark) {
+            suspect.scope_ = suspect_scope::content;
+        }
         return true;
     }
     const bool changed = received.cleared_ && !known->second.cleared_;
@@ -183,14 +199,28 @@
     return hash;
 }
 
+fingerprint content_fingerprint_of(const request_identity& request)
+{
+    constexpr XXH64_hash_t seed = 1; // apart from the fingerprints of callers
+    const fingerprint content = fingerprint_of(
+        {request.method_, request.path_, request.customer_, {}, request.body_digest_});
+    return XXH64(&content, sizeof content, seed);
+}
+
+duration content_delay_of(std::string_view host)
+{
+    constexpr auto range = static_cast<std::uint64_t>(duration{content_delay_max}.count());
+    return duration{static_cast<std::int64_t>(XXH64(host.data(), host.size(), 0) % range)};
+}
+
 void on_request_sent(quarantine& quarantine, fingerprint request, std::string_view target,
-                     time_point now)
+                     time_point now, suspect_scope scope)
 {
     auto running = quarantine.running_.find(target);
     if (running == quarantine.running_.end()) {
         running = quarantine.running_.emplace(target, std::vector<running_request>{}).first;
     }
-    running->second.push_back({request, now});
+    running->second.push_back({request, now, scope});
 }
 
 bool on_request_ended(quarantine& quarantine, fingerprint request, std::string_view target,
@@ -208,7 +238,21 @@
             quarantine.running_.erase(running);
         }
     }
-    return finished && clear(quarantine, request);
+    return finished && clear_suspect(quarantine, request);
+}
+
+bool clear_suspect(quarantine& quarantine, fingerprint request)
+{
+    std::erase_if(quarantine.unanswered_,
+                  [request](const auto& one) { return one.run_.request_ == request; });
+    const auto found = quarantine.suspects_.find(request);
+    if (found == quarantine.suspects_.end() || uncleared_crashes(found->second) == 0) {
+        return false;
+    }
+    for (auto& [name, crash] : found->second.crashes_) {
+        crash.cleared_ = true;
+    }
+    return true;
 }
 
 void on_request_unanswered(quarantine& quarantine, fingerprint request, std::string_view target,
@@ -241,8 +285,8 @@
     }
     for (const auto& one : running->second) {
         suspect& suspect = suspect_at(quarantine, one.request_, now);
-        add_crash(suspect, shared_name, one.started_at_, now);
-        extend(suspect, now);
+        add_crash(suspect, shared_name, one, now);
+        extend(quarantine, suspect, now);
         if (std::find(raised.begin(), raised.end(), one.request_) == raised.end()) {
             raised.push_back(one.request_);
         }
@@ -277,8 +321,8 @@
         return false;
     }
     const std::uint32_t crashes = uncleared_crashes(*known);
-    return (crashes >= crashes_until_refused && now < known->refused_until_) ||
-           (crashes > 0 && is_running(quarantine, request));
+    return (crashes >= refused_at(*known) && now < known->refused_until_) ||
+           (must_run_alone(known) && is_running(quarantine, request));
 }
 
 duration refusal_left(const quarantine& quarantine, fingerprint request, time_point now)
@@ -296,8 +340,8 @@
         return false;
     }
     const auto is_other = [&](const running_request& one) {
-        const suspect* known = find_suspect(quarantine, one.request_, now);
-        return one.request_ != request && known != nullptr && uncleared_crashes(*known) > 0;
+        return one.request_ != request &&
+               must_run_alone(find_suspect(quarantine, one.request_, now));
     };
     return std::any_of(running->second.begin(), running->second.end(), is_other);
 }
@@ -338,7 +382,7 @@
         changed |= merge_crash(suspect, one, now);
     }
     if (changed) {
-        extend(suspect, now, std::chrono::seconds{received.lifetime_s_});
+        extend(quarantine, suspect, now, std::chrono::seconds{received.lifetime_s_});
     }
     return changed;
 }
@@ -372,7 +416,9 @@
 bool concerns_all_hosts(const peer::fact& suspicion)
 {
     const auto crashes = parse_crashes(suspicion.payload_);
-    return crashes && crashes->size() >= crashes_until_refused;
+    const bool is_content = !suspicion.payload_.empty() && suspicion.payload_[0] == content_mark;
+    return crashes &&
+           crashes->size() >= (is_content ? content_crashes_until_refused : crashes_until_refused);
 }
 
 peer::fact shared_suspicion_of(const quarantine& quarantine, fingerprint request, time_point now)
--- a/src/admission/quarantine.hpp
+++ b/src/admission/quarantine.hpp
@@ -4,6 +4,10 @@
 // Until a completed run clears it, a suspect has one attempt at a time, at a target that runs no
 // other suspect. After a second crash it is refused for some seconds and may then run once more,
 // since a harmless request can share two crashes; after a third it is refused for minutes.
+//
+// A crash counts twice: for the request of that caller, and for its content, whoever sends it. Many
+// callers send the same harmless content, so content is refused one crash later, and any caller's
+// completed run clears it; the request of a caller is cleared by that caller's runs only.
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
@@ -34,8 +38,25 @@
 
 fingerprint fingerprint_of(const request_identity&);
 
+// Equal for requests of all callers of an organisation with this content. Idempotency keys differ
+// from one request to the next, so they are no part of it. `customer_`: the organisation, if any.
+fingerprint content_fingerprint_of(const request_identity&);
+
+// Whose requests a fingerprint stands for.
+enum class suspect_scope : std::uint8_t { caller, content };
+
+// The two fingerprints of one request.
+struct request_fingerprints {
+    fingerprint caller_ = 0;
+    fingerprint content_ = 0;
+
+    friend bool operator==(const request_fingerprints&, const request_fingerprints&) = default;
+};
+
 inline constexpr std::uint32_t crashes_until_refused = 2;
 inline constexpr std::uint32_t crashes_until_confirmed = 3;
+inline constexpr std::uint32_t content_crashes_until_refused = 3;
+inline constexpr std::uint32_t content_crashes_until_confirmed = 4;
 inline constexpr std::size_t suspects_max = 4096;
 inline constexpr std::size_t crashes_kept_max = 16; // per suspect; cleared ones are evicted first
 inline constexpr std::chrono::seconds suspicion_lifetime{120};
@@ -58,6 +79,7 @@
 };
 
 struct suspect {
+    suspect_scope scope_ = suspect_scope::caller;
     std::map<std::string, crash, std::less<>> crashes_; // by name
     time_point refused_until_{};
     time_point expires_at_{};
@@ -67,6 +89,7 @@
 struct running_request {
     fingerprint request_ = 0;
     time_point started_at_{};
+    suspect_scope scope_ = suspect_scope::caller;
 };
 
 // An attempt that ended without an answer.
@@ -80,14 +103,25 @@
     std::map<fingerprint, suspect> suspects_; // at most suspects_max
     std::map<std::string, std::vector<running_request>, std::less<>> running_; // by target
     std::deque<unanswered_request> unanswered_; // at most unanswered_max, oldest first
+    // Added to the short refusal of content, and different from host to host: when it ends, the
+    // crash of the first run is known before other hosts let one through.
+    duration content_delay_{};
 };
 
+// content_delay_ of the host with this name: up to content_delay_max.
+duration content_delay_of(std::string_view host);
+inline constexpr std::chrono::seconds content_delay_max{8};
+
 // Call when an attempt is sent and when it has ended. `target` names address and incarnation.
 // `finished` means that the target ran the request and gave a complete answer, which clears a
 // suspect; the return value is whether one was cleared, so that the peers can be notified.
-void on_request_sent(quarantine&, fingerprint, std::string_view target, time_point now);
+void on_request_sent(quarantine&, fingerprint, std::string_view target, time_point now,
+                     suspect_scope scope = suspect_scope::caller);
 bool on_request_ended(quarantine&, fingerprint, std::string_view target, bool finished);
 
+// Clears a suspect. Returns whether it was suspected.
+bool clear_suspect(quarantine&, fingerprint);
+
 // Call before on_request_ended when the attempt got no answer and it is not known why.
 void on_request_unanswered(quarantine&, fingerprint, std::string_view target, time_point now);
 
@@ -107,8 +141,9 @@
 std::vector<fingerprint> on_target_replaced(quarantine&, std::string_view target, time_point now,
                                             std::string_view shared_name);
 
-// Whether the request must be refused as not run: two targets crashed with it in flight not long
-// ago, or one did and another attempt of it is in flight here.
+// Whether the request must be refused as not run: enough targets crashed with it in flight not long
+// ago, or it is suspected and another attempt of it is in flight here. Content is refused while an
+// attempt is in flight only if it has enough crashes.
 bool is_quarantined(const quarantine&, fingerprint, time_point now);
 
 // How long a quarantined request is refused at least.
--- a/src/http/http_task.cpp
+++ b/src/http/http_task.cpp
@@ -74,6 +74,7 @@
       relay_hosts_{loop, random_, config}
 {
     body_memory_.max_ = settings::caller_memory_bytes(config_);
+    quarantine_.content_delay_ = admission::content_delay_of(config_.host_.id_);
     limits_.max_header_bytes_ = config_.listen_.max_header_bytes_;
     limits_.idle_timeout_ = config_.listen_.idle_timeout_;
     limits_.header_timeout_ = config_.listen_.header_timeout_;
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -7,6 +7,7 @@
 #include "admission/body_memory.hpp"
 #include "admission/holder.hpp"
 #include "admission/quarantine.hpp"
+#include "admission/recent_runs.hpp"
 #include "base/error.hpp"
 #include "base/mailbox.hpp"
 #include "base/random.hpp"
@@ -228,12 +229,18 @@
                                                  routing::target_index target);
     void on_connection_refused(service_state& service, routing::target_index target);
     void on_connection_broken(service_state& service, routing::target_index target,
-                              admission::fingerprint request);
-    void on_upstream_request_ended(admission::fingerprint request, std::string_view target,
-                                   upstream_end end);
+                              const admission::request_fingerprints& request);
+    void on_upstream_request_sent(const admission::request_fingerprints& request,
+                                  std::string_view target);
+    void on_upstream_request_ended(const admission::request_fingerprints& request,
+                                   std::string_view target, upstream_end end);
+    // Whether the request is refused, as the caller's or for its content, and for how long at
+    // least.
+    [[nodiscard]] bool is_quarantined(const admission::request_fingerprints& request) const;
+    [[nodiscard]] duration refusal_left(const admission::request_fingerprints& request) const;
     // Whether it is known why the request's connection to the target broke.
     [[nodiscard]] bool is_crash_checked(const service_state& service, routing::target_index target,
-                                        admission::fingerprint request) const;
+                                        const admission::request_fingerprints& request) const;
     // Submits a call to the object API and returns its id. The reply goes to on_claim_reply of
     // `requester`, unless ignore_object_reply was called with the id before. Null `requester`: the
     // reply is ignored.
@@ -269,6 +276,7 @@
                          crash_verdict verdict);
     void on_target_replaced(const target_connections& before);
     void publish_suspicions(const std::vector<admission::fingerprint>& requests);
+    void clear_if_run_recently(admission::fingerprint request);
     void share_suspicion(admission::fingerprint request);
     [[nodiscard]] std::string known_suspicions() const;
     void tick();
@@ -303,6 +311,7 @@
     std::unordered_map<std::string, routes::split_state> splits_; // by route
     admission::state admission_;
     admission::quarantine quarantine_;
+    admission::recent_runs recent_runs_; // of content
     admission::body_memory body_memory_;
     bool relief_due_ = false;
     std::string read_buffer_;
--- a/src/http/http_task_crashes.cpp
+++ b/src/http/http_task_crashes.cpp
@@ -105,6 +105,9 @@
                             {"crashes", suspicion.payload_},
                             {"outcome", merged ? "merged" : to_string(merged.error())}});
     }
+    if (merged && *merged) {
+        clear_if_run_recently(admission::fingerprint_of(suspicion).value_or(0));
+    }
     return merged && *merged;
 }
 
@@ -121,7 +124,7 @@
 // A connection broke with a request in flight. Opens a new connection to find out whether the
 // target has crashed; until the result is known, the request counts as running there.
 void http_task::on_connection_broken(service_state& service, routing::target_index target,
-                                     admission::fingerprint request)
+                                     const admission::request_fingerprints& request)
 {
     target_connections& connections = connections_of(service, target);
     if (connections.broken_requests_.empty()) {
@@ -226,8 +229,11 @@
     if (verdict == crash_verdict::crashed) {
         telemetry::state_change(
             "target_crashed", {{"service", service.config_.name_}, {"target", connections.name_}});
-        publish_suspicions(admission::on_target_crashed(quarantine_, connections.name_, loop_.now(),
-                                                        connections.shared_name_));
+        const auto raised = admission::on_target_crashed(quarantine_, connections.name_,
+                                                         loop_.now(), connections.shared_name_);
+        publish_suspicions(raised);
+        std::for_each(raised.begin(), raised.end(),
+                      [this](admission::fingerprint one) { clear_if_run_recently(one); });
     }
     else if (verdict == crash_verdict::cut_off) {
         telemetry::state_change(
@@ -236,14 +242,16 @@
              {"target", connections.name_},
              {"why", "other targets do not accept connections from this host either"}});
     }
-    for (const admission::fingerprint request : broken) {
-        admission::on_request_unanswered(quarantine_, request, connections.name_, loop_.now());
-        admission::on_request_ended(quarantine_, request, connections.name_, false);
+    for (const admission::request_fingerprints& request : broken) {
+        for (const admission::fingerprint each : {request.caller_, request.content_}) {
+            admission::on_request_unanswered(quarantine_, each, connections.name_, loop_.now());
+            admission::on_request_ended(quarantine_, each, connections.name_, false);
+        }
     }
 }
 
 bool http_task::is_crash_checked(const service_state& service, routing::target_index target,
-                                 admission::fingerprint request) const
+                                 const admission::request_fingerprints& request) const
 {
     const auto known = service.targets_.find(target);
     if (known == service.targets_.end()) {
@@ -260,13 +268,47 @@
         admission::on_target_replaced(quarantine_, before.name_, loop_.now(), before.shared_name_));
 }
 
-void http_task::on_upstream_request_ended(admission::fingerprint request, std::string_view target,
-                                          upstream_end end)
+void http_task::on_upstream_request_sent(const admission::request_fingerprints& request,
+                                         std::string_view target)
 {
-    if (end == upstream_end::unanswered) {
-        admission::on_request_unanswered(quarantine_, request, target, loop_.now());
+    using admission::suspect_scope;
+    const time_point now = loop_.now();
+    admission::on_request_sent(quarantine_, request.caller_, target, now, suspect_scope::caller);
+    admission::on_request_sent(quarantine_, request.content_, target, now, suspect_scope::content);
+}
+
+void http_task::on_upstream_request_ended(const admission::request_fingerprints& request,
+                                          std::string_view target, upstream_end end)
+{
+    const bool completed = end == upstream_end::completed;
+    if (completed) {
+        admission::on_run_completed(recent_runs_, request.content_, loop_.now());
+    }
+    for (const admission::fingerprint each : {request.caller_, request.content_}) {
+        if (end == upstream_end::unanswered) {
+            admission::on_request_unanswered(quarantine_, each, target, loop_.now());
+        }
+        if (admission::on_request_ended(quarantine_, each, target, completed)) {
+            publish_suspicions({each});
+        }
     }
-    if (admission::on_request_ended(quarantine_, request, target, end == upstream_end::completed)) {
+}
+
+bool http_task::is_quarantined(const admission::request_fingerprints& request) const
+{
+    return admission::is_quarantined(quarantine_, request.caller_, loop_.now()) ||
+           admission::is_quarantined(quarantine_, request.content_, loop_.now());
+}
+
+duration http_task::refusal_left(const admission::request_fingerprints& request) const
+{
+    return std::max(admission::refusal_left(quarantine_, request.caller_, loop_.now()),
+                    admission::refusal_left(quarantine_, request.content_, loop_.now()));
+}
+
+void http_task::clear_if_run_recently(admission::fingerprint request)
+{
+    if (admission::clear_if_run_recently(quarantine_, recent_runs_, request, loop_.now())) {
         publish_suspicions({request});
     }
 }
--- a/src/http/proxied_call.cpp
+++ b/src/http/proxied_call.cpp
@@ -307,11 +307,15 @@
     dispatched_ = true;
     const std::string_view prefix = std::string_view{body_}.substr(0, fingerprint_bytes);
     const std::string_view caller = customer_.empty() ? caller_ip() : customer_;
-    fingerprint_ = admission::fingerprint_of({head_.method_, head_.target_, caller,
-                                              find_field(head_, idempotency_key_field),
-                                              XXH3_64bits(prefix.data(), prefix.size())});
-    if (admission::is_quarantined(http_task_.request_quarantine(), fingerprint_,
-                                  http_task_.loop().now())) {
+    const std::string_view organisation =
+        organisation_ != nullptr ? std::string_view{organisation_->name_} : customer_;
+    admission::request_identity identity{head_.method_, head_.target_, caller,
+                                         find_field(head_, idempotency_key_field),
+                                         XXH3_64bits(prefix.data(), prefix.size())};
+    fingerprints_.caller_ = admission::fingerprint_of(identity);
+    identity.customer_ = organisation;
+    fingerprints_.content_ = admission::content_fingerprint_of(identity);
+    if (http_task_.is_quarantined(fingerprints_)) {
         refuse_quarantined();
         return;
     }
@@ -327,9 +331,9 @@
 {
     http_task_.metrics().quarantined_requests_.Increment();
     telemetry::decided("request_quarantined", request_id_,
-                       {{"fingerprint", admission::name_of(fingerprint_)}});
-    const duration left = admission::refusal_left(http_task_.request_quarantine(), fingerprint_,
-                                                  http_task_.loop().now());
+                       {{"fingerprint", admission::name_of(fingerprints_.caller_)},
+                        {"content", admission::name_of(fingerprints_.content_)}});
+    const duration left = http_task_.refusal_left(fingerprints_);
     refuse({status_unavailable, "not-run", "targets crashed while running this request; change it",
             std::max(left, suspect_retry_after), false});
 }
@@ -374,9 +378,10 @@
 void proxied_call::answer_after_crash_checks(const dispatch::action& decided, time_point latest)
 {
     const time_point now = http_task_.loop().now();
-    const bool waits = state_.broken_count_ > 0 && http_task_.has_peers() && now < latest &&
-                       (has_unchecked_crash() ||
-                        admission::is_suspect(http_task_.request_quarantine(), fingerprint_, now));
+    const bool waits =
+        state_.broken_count_ > 0 && http_task_.has_peers() && now < latest &&
+        (has_unchecked_crash() ||
+         admission::is_suspect(http_task_.request_quarantine(), fingerprints_.caller_, now));
     if (!waits) {
         answer(decided);
         return;
@@ -390,7 +395,7 @@
 {
     return std::any_of(exchanges_.begin(), exchanges_.end(), [this](const attempt_exchange& one) {
         return one.pool_ != nullptr && !one.relay_ &&
-               !http_task_.is_crash_checked(*service_, one.target_, fingerprint_);
+               !http_task_.is_crash_checked(*service_, one.target_, fingerprints_);
     });
 }
 
--- a/src/http/proxied_call.hpp
+++ b/src/http/proxied_call.hpp
@@ -187,7 +187,7 @@
     std::optional<duration> retry_after_; // expected wait for a slot; none: unknown
     std::string body_; // kept part of the request body; starts at its first byte while replayable
     std::uint64_t body_bytes_ = 0;
-    admission::fingerprint fingerprint_ = 0;
+    admission::request_fingerprints fingerprints_;
     time_point started_{};
     time_point deadline_{};
     time_point progressed_at_{}; // bytes of the answer arrived or were taken by the caller
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -188,8 +188,8 @@
     const time_point now = http_task_.loop().now();
     connection_pool& pool = http_task_.pool_of(*service_, target);
     const std::string name = http_task_.target_name(*service_, target);
-    if (!pool.has_room() ||
-        admission::runs_other_suspect(http_task_.request_quarantine(), fingerprint_, name, now)) {
+    if (!pool.has_room() || admission::runs_other_suspect(http_task_.request_quarantine(),
+                                                          fingerprints_.caller_, name, now)) {
         return nullptr;
     }
     attempt.in_flight_ = true;
@@ -230,8 +230,7 @@
     attempt.sent_ = now;
     dispatch::on_attempt_sent(state_, attempt.id_);
     if (!attempt.relay_) {
-        admission::on_request_sent(http_task_.request_quarantine(), fingerprint_,
-                                   attempt.target_name_, now);
+        http_task_.on_upstream_request_sent(fingerprints_, attempt.target_name_);
     }
 
     forwarded_fields added;
@@ -324,7 +323,8 @@
                        {{"attempt", std::to_string(attempt.id_)},
                         {"target", attempt.target_name_},
                         {"instance", attempt.instance_},
-                        {"fingerprint", admission::name_of(fingerprint_)},
+                        {"fingerprint", admission::name_of(fingerprints_.caller_)},
+                        {"content", admission::name_of(fingerprints_.content_)},
                         {"end", std::string{to_string(end)}},
                         {"status", std::to_string(attempt.status_)},
                         {"taken_ms", log_ms(now - attempt.sent_)}});
@@ -348,14 +348,14 @@
                                 telemetry::severity::warning);
     }
     if (end == routing::attempt_end::broken) {
-        http_task_.on_connection_broken(*service_, attempt.target_, fingerprint_);
+        http_task_.on_connection_broken(*service_, attempt.target_, fingerprints_);
     }
     else if (attempt.connected_) {
         const upstream_end upstream = finished && attempt.status_ < status_server_error
                                           ? upstream_end::completed
                                       : attempt.status_ == 0 ? upstream_end::unanswered
                                                              : upstream_end::other;
-        http_task_.on_upstream_request_ended(fingerprint_, attempt.target_name_, upstream);
+        http_task_.on_upstream_request_ended(fingerprints_, attempt.target_name_, upstream);
     }
 }
 
@@ -392,8 +392,7 @@
                                                               : routing::attempt_end::broken,
                false);
     const time_point now = http_task_.loop().now();
-    const bool suspect =
-        admission::is_quarantined(http_task_.request_quarantine(), fingerprint_, now);
+    const bool suspect = http_task_.is_quarantined(fingerprints_);
     // An attempt that was never sent put no load on an upstream, so retrying it needs no budget.
     const bool is_free = failure == dispatch::attempt_failure::unsent;
     const bool granted = !suspect && time_left() > duration::zero() &&
--- a/src/http/service_state.hpp
+++ b/src/http/service_state.hpp
@@ -22,11 +22,11 @@
 // Connections to one target, and the requests whose connections to it have just broken.
 struct target_connections {
     std::unique_ptr<connection_pool> pool_;
-    std::string name_;                                    // address and incarnation
-    std::string shared_name_;                             // the same on all hosts
-    bool leaving_ = false;                                // it has announced that it leaves
-    std::vector<admission::fingerprint> broken_requests_; // until the crash check ends
-    time_point broken_at_{};                              // the first of them
+    std::string name_;        // address and incarnation
+    std::string shared_name_; // the same on all hosts
+    bool leaving_ = false;    // it has announced that it leaves
+    std::vector<admission::request_fingerprints> broken_requests_; // until the crash check ends
+    time_point broken_at_{};                                       // the first of them
     bool check_in_progress_ = false;
     bool witnesses_asked_ = false;
 };
--- a/tests/suspicion_fleet_test.cpp
+++ b/tests/suspicion_fleet_test.cpp
@@ -2,6 +2,7 @@
 // each other and share suspicions through three hosts that serve the others.
 
 #include "admission/quarantine.hpp"
+#include "admission/recent_runs.hpp"
 #include "admission/suspicion_outbox.hpp"
 #include "directory/feed.hpp"
 #include "peer/feed_wire.hpp"
@@ -39,6 +40,7 @@
 
 struct host {
     quarantine known_;
+    recent_runs runs_;                                 // of content
     std::map<std::size_t, suspicion_outbox> outboxes_; // by host of the feed
     directory::feed feed_;
     directory::feed_position position_; // in the feed of the host that it reads from
@@ -56,6 +58,7 @@
         for (std::size_t i = 0; i < size; ++i) {
             hosts_[i].feed_.epoch_ = ++last_epoch_;
             hosts_[i].reads_from_ = i % feed_hosts;
+            hosts_[i].known_.content_delay_ = content_delay_of("host-" + std::to_string(i));
             if (i >= feed_hosts) {
                 at(start - 1ms, [this, i] { read(i); });
             }
@@ -70,7 +73,10 @@
         return true;
     };
     std::map<fingerprint, std::vector<time_point>> crashes_{}; // of each killer
+    std::map<fingerprint, time_point> refused_since_{};        // contents that are refused now
+    std::map<fingerprint, duration> longest_refusal_{};        // of each content
     std::map<std::string, time_point> down_until_{};           // targets
+    std::map<std::string, time_point> crashed_at_{};           // targets
     std::size_t messages_ = 0;
     std::size_t bytes_ = 0;
     std::uint64_t last_epoch_ = 0;
@@ -146,6 +152,9 @@
                 if (is_report && to < feed_hosts) {
                     report(to, request);
                 }
+                if (clear_if_run_recently(hosts_[to].known_, hosts_[to].runs_, request, now_)) {
+                    raise(to, {request});
+                }
             }
         }
     }
@@ -228,6 +237,75 @@
         }
     }
 
+    // A host sends one of many callers' requests to a target, unless it refuses it.
+    void send(std::size_t which, request_fingerprints request, const std::string& target,
+              bool kills)
+    {
+        constexpr duration work = 120ms;
+        host& sender = hosts_[which];
+        if (is_quarantined(sender.known_, request.content_, now_)) {
+            const auto since = refused_since_.try_emplace(request.content_, now_).first->second;
+            duration& longest = longest_refusal_[request.content_];
+            longest = std::max(longest, now_ - since);
+            return;
+        }
+        if (is_quarantined(sender.known_, request.caller_, now_) || now_ < down_until_[target]) {
+            return;
+        }
+        refused_since_.erase(request.content_);
+        on_request_sent(sender.known_, request.caller_, target, now_);
+        on_request_sent(sender.known_, request.content_, target, now_, suspect_scope::content);
+        if (kills) {
+            crashes_[request.content_].push_back(now_);
+            crash(target);
+            return;
+        }
+        at(now_ + work, [=, this, sent = now_] {
+            host& by = hosts_[which];
+            if (crashed_at_.count(target) > 0 && crashed_at_[target] >= sent) {
+                return;
+            }
+            on_run_completed(by.runs_, request.content_, now_);
+            for (const fingerprint each : {request.caller_, request.content_}) {
+                if (on_request_ended(by.known_, each, target, true)) {
+                    raise(which, {each});
+                }
+            }
+        });
+    }
+
+    // The target crashes, and all hosts that had requests in flight there find out.
+    void crash(const std::string& target)
+    {
+        crashed_at_[target] = now_;
+        down_until_[target] = now_ + 3s;
+        at(now_ + crash_check_time, [=, this] {
+            for (std::size_t which = 0; which < hosts_.size(); ++which) {
+                host& one = hosts_[which];
+                const auto raised = on_target_crashed(one.known_, target, now_);
+                raise(which, raised);
+                for (const fingerprint each : raised) {
+                    if (clear_if_run_recently(one.known_, one.runs_, each, now_)) {
+                        raise(which, {each});
+                    }
+                }
+            }
+        });
+    }
+
+    // Requests of many callers with the same content, each through any host to any target.
+    void call_by_all(fingerprint content, bool kills, std::size_t targets, duration pause,
+                     time_point end)
+    {
+        constexpr fingerprint callers = 20;
+        const fingerprint caller = content * 1000 + uniform_below(random_, callers);
+        send(uniform_below(random_, hosts_.size()), {caller, content},
+             "t" + std::to_string(uniform_below(random_, targets)), kills);
+        if (now_ + pause < end) {
+            at(now_ + pause, [=, this] { call_by_all(content, kills, targets, pause, end); });
+        }
+    }
+
     // The host sends a killer to a target, unless it refuses it. Returns whether it was sent.
     bool send_killer(std::size_t which, fingerprint killer, const std::string& target)
     {
@@ -264,6 +342,32 @@
 // The rule: three more sends after the third crash, from all hosts together.
 constexpr std::size_t allowed_after_third = 3;
 
+// Sends of one caller come one after the other; those of many callers may be in flight already, and
+// count when they come later than this after the third crash.
+constexpr duration stability_window = 3s;
+
+std::size_t late_sends(const std::vector<time_point>& crashes)
+{
+    return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](auto when) {
+        return crashes.size() >= 3 && when > crashes[2] + stability_window;
+    }));
+}
+
+// Harmless content may be refused until the hosts know of a run that has completed.
+constexpr duration refusal_of_harmless_max = 1s;
+
+// Whether the harmless content was refused for longer than that without a break.
+void check_is_served(const fleet& all, fingerprint content)
+{
+    const auto refused = all.longest_refusal_.find(content);
+    const duration longest =
+        refused == all.longest_refusal_.end() ? duration::zero() : refused->second;
+    CHECK_TEXT(longest <= refusal_of_harmless_max,
+               (std::to_string(all.hosts_.size()) + " hosts, refused for " +
+                std::to_string(longest / 1ms) + " ms")
+                   .c_str());
+}
+
 } // namespace
 
 TEST_GROUP(suspicion_fleet){};
@@ -279,6 +383,79 @@
     }
 }
 
+TEST(suspicion_fleet, a_killer_of_many_callers_is_sent_on_after_the_third_crash)
+{
+    for (const std::size_t size : {13, 101, 311, 1000}) {
+        for (const duration pause : {duration{300ms}, duration{30ms}, duration{5ms}}) {
+            fleet all{size};
+            all.at(start, [&] { all.call_by_all(1, true, 600, pause, start + 60s); });
+            all.run_until(start + 60s);
+            const auto& crashes = all.crashes_[1];
+            CHECK(crashes.size() >= 3);
+            CHECK_TEXT(late_sends(crashes) <= allowed_after_third,
+                       ("hosts " + std::to_string(size) + ", crashes " +
+                        std::to_string(crashes.size()) + ", late " +
+                        std::to_string(late_sends(crashes)))
+                           .c_str());
+        }
+    }
+}
+
+// Load: content that many callers send, in flight at each target that a killer crashes.
+TEST(suspicion_fleet, harmless_content_of_many_callers_is_refused_beside_a_killer)
+{
+    for (const std::size_t size : {13, 311, 1000}) {
+        for (const duration pause : {duration{200ms}, duration{20ms}, duration{4ms}}) {
+            fleet all{size};
+            all.at(start, [&] {
+                all.call_by_all(1, true, 22, 50ms, start + 20s);
+                all.call_by_all(2, false, 22, pause, start + 60s);
+            });
+            all.run_until(start + 60s);
+            CHECK(late_sends(all.crashes_[1]) <= allowed_after_third);
+            check_is_served(all, 2);
+        }
+    }
+}
+
+// Load: the same content, and a sixth of the targets crash for other reasons, three times.
+TEST(suspicion_fleet, harmless_content_is_refused_after_many_targets_crash)
+{
+    for (const std::size_t size : {13, 311, 1000}) {
+        for (const duration pause : {duration{200ms}, duration{20ms}, duration{4ms}}) {
+            fleet all{size};
+            all.at(start - 500ms, [&] { all.call_by_all(2, false, 22, pause, start + 60s); });
+            for (const duration when : {duration{1s}, duration{4s}, duration{7s}}) {
+                all.at(start + when, [&] {
+                    for (int target = 0; target < 4; ++target) {
+                        all.crash("t" + std::to_string(target));
+                    }
+                });
+            }
+            all.run_until(start + 60s);
+            check_is_served(all, 2);
+        }
+    }
+}
+
+// Load: the same content at a few targets, which crash one after the other for other reasons. Most
+// hosts hear of it only with the third crash, and have completed runs since the first.
+TEST(suspicion_fleet, harmless_content_is_refused_after_targets_crash_one_by_one)
+{
+    for (const std::size_t size : {13, 311, 1000}) {
+        for (const duration pause : {duration{200ms}, duration{100ms}, duration{20ms}}) {
+            fleet all{size};
+            all.at(start - 500ms, [&] { all.call_by_all(2, false, 6, pause, start + 60s); });
+            for (int second = 1; second <= 50; ++second) {
+                all.at(start + std::chrono::seconds{second},
+                       [&] { all.crash("t" + std::to_string(uniform_below(all.random_, 6))); });
+            }
+            all.run_until(start + 60s);
+            check_is_served(all, 2);
+        }
+    }
+}
+
 TEST(suspicion_fleet, a_killer_is_sent_on_while_hosts_of_the_feed_are_killed_or_cut_off)
 {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
