--- a/soak/callers.py
+++ b/soak/callers.py
@@ -99,6 +99,8 @@
                 return True
             status_line, fields, received = answer
             attempt.status = status_line.split()[1]
+            if not "200" <= attempt.status <= "599":
+                run.add_finding(f"{attempt.name}: an answer with the status {attempt.status}")
             if attempt.status == "200":
                 expected = f"{method} {path}".encode() + body
                 if fields.get("x-id") != attempt.name or received != expected:
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -36,6 +36,7 @@
 GRACE_S = 4.0
 FINDINGS_SHOWN = 10
 KILLER_SENDS = 40  # of one request that crashes targets
+KILLER_CALLERS = 20  # that send it, each from an address of its own
 KILLER_SENDS_AFTER_THIRD = 3  # that all hosts together may forward after its third crash
 LIMIT_NOTICE_S = 3.0  # after a target has named a limit; then it is checked
 SETTLE_S = 3.0  # after a disturbance; then the time bounds are checked again
@@ -377,14 +378,15 @@
             await target.start()
 
     async def inject_killer(self):
-        """A caller sends a request that crashes targets again and again, through any host."""
+        """Callers send a request that crashes targets again and again, through any host."""
         path = f"{KILLER_PATH}{self.now():.3f}"
         began = self.now()
         starts = sum(host.incarnation for host in self.hosts)
-        for _ in range(KILLER_SENDS):
+        for number in range(KILLER_SENDS):
             host = self.random_host()
+            own = (f"127.0.0.{2 + number % KILLER_CALLERS}", 0)
             try:
-                reader, writer = await asyncio.wait_for(asyncio.open_connection(IP, host.port), 1)
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(IP, host.port, local_addr=own), 1)
                 writer.write(message(f"POST {path} HTTP/1.1", {"Host": "a.example", "X-Id": f"k{self.now():.6f}",
                                                                "X-Deadline": "1500",
                                                                "Authorization": "Token key-callers"}, b"lot"))
--- a/soak/world.py
+++ b/soak/world.py
@@ -376,6 +376,8 @@
             stray = {"X-Id": "stray", "X-Seal": seal_of("stray", b"stray")}
             writer.write(message("HTTP/1.1 200 OK", fields, body) +
                          message("HTTP/1.1 200 OK", stray, b"stray"))
+        elif draw < self.error_ratio + self.malformed_ratio * 5 / 6:
+            writer.write(message("HTTP/1.1 000 No", fields, body))
         elif draw < self.error_ratio + self.malformed_ratio:
             return False
         else:
