Clear raised content by recent runs before the other hosts are told

Read again: a suspicion raised here was published as uncleared and, where this host had just completed a run of the content, again as cleared; one raised since a target had been replaced was not cleared by recent runs at all. Both now go through raise_suspicions, which clears first and publishes once. The memory of unanswered requests keeps its length, since each request takes two places in it. Tests of content and recent runs by themselves: quarantine_test (4 new ones).

--- a/src/admission/quarantine.hpp
+++ b/src/admission/quarantine.hpp
@@ -69,7 +69,7 @@
 // A request that was sent and got no answer is remembered this long, for a target that turns out to
 // have been replaced in the meantime: the time until the store has noticed that a target is gone.
 inline constexpr std::chrono::seconds unanswered_lifetime{15};
-inline constexpr std::size_t unanswered_max = 1024;
+inline constexpr std::size_t unanswered_max = 2048; // two for each request
 
 // One crash with the request in flight. Its name is the target's name and a count, so that two
 // crashes of one target differ, and two hosts that saw the same crash use the same name.
--- a/src/http/http_task.hpp
+++ b/src/http/http_task.hpp
@@ -234,8 +234,7 @@
                                   std::string_view target);
     void on_upstream_request_ended(const admission::request_fingerprints& request,
                                    std::string_view target, upstream_end end);
-    // Whether the request is refused, as the caller's or for its content, and for how long at
-    // least.
+    // Whether the request is refused, as this caller's or for its content; for how long at least.
     [[nodiscard]] bool is_quarantined(const admission::request_fingerprints& request) const;
     [[nodiscard]] duration refusal_left(const admission::request_fingerprints& request) const;
     // Whether it is known why the request's connection to the target broke.
@@ -275,8 +274,8 @@
     void end_crash_check(service_state& service, routing::target_index target,
                          crash_verdict verdict);
     void on_target_replaced(const target_connections& before);
+    void raise_suspicions(const std::vector<admission::fingerprint>& requests);
     void publish_suspicions(const std::vector<admission::fingerprint>& requests);
-    void clear_if_run_recently(admission::fingerprint request);
     void share_suspicion(admission::fingerprint request);
     [[nodiscard]] std::string known_suspicions() const;
     void tick();
--- a/src/http/http_task_crashes.cpp
+++ b/src/http/http_task_crashes.cpp
@@ -105,8 +105,10 @@
                             {"crashes", suspicion.payload_},
                             {"outcome", merged ? "merged" : to_string(merged.error())}});
     }
-    if (merged && *merged) {
-        clear_if_run_recently(admission::fingerprint_of(suspicion).value_or(0));
+    const auto request = admission::fingerprint_of(suspicion);
+    if (merged && *merged && request &&
+        admission::clear_if_run_recently(quarantine_, recent_runs_, *request, loop_.now())) {
+        publish_suspicions({*request});
     }
     return merged && *merged;
 }
@@ -229,11 +231,8 @@
     if (verdict == crash_verdict::crashed) {
         telemetry::state_change(
             "target_crashed", {{"service", service.config_.name_}, {"target", connections.name_}});
-        const auto raised = admission::on_target_crashed(quarantine_, connections.name_,
-                                                         loop_.now(), connections.shared_name_);
-        publish_suspicions(raised);
-        std::for_each(raised.begin(), raised.end(),
-                      [this](admission::fingerprint one) { clear_if_run_recently(one); });
+        raise_suspicions(admission::on_target_crashed(quarantine_, connections.name_, loop_.now(),
+                                                      connections.shared_name_));
     }
     else if (verdict == crash_verdict::cut_off) {
         telemetry::state_change(
@@ -264,7 +263,7 @@
 // Another server has taken the place of a target that had not announced that it would leave.
 void http_task::on_target_replaced(const target_connections& before)
 {
-    publish_suspicions(
+    raise_suspicions(
         admission::on_target_replaced(quarantine_, before.name_, loop_.now(), before.shared_name_));
 }
 
@@ -306,11 +305,12 @@
                     admission::refusal_left(quarantine_, request.content_, loop_.now()));
 }
 
-void http_task::clear_if_run_recently(admission::fingerprint request)
+void http_task::raise_suspicions(const std::vector<admission::fingerprint>& requests)
 {
-    if (admission::clear_if_run_recently(quarantine_, recent_runs_, request, loop_.now())) {
-        publish_suspicions({request});
+    for (const admission::fingerprint request : requests) {
+        admission::clear_if_run_recently(quarantine_, recent_runs_, request, loop_.now());
     }
+    publish_suspicions(requests);
 }
 
 void http_task::publish_suspicions(const std::vector<admission::fingerprint>& requests)
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -16,7 +16,7 @@
 namespace detail {
 
 // Statuses that no answer has, or none that is expected: hosts ask for no other protocol.
-inline bool is_broken_status(int status)
+inline bool is_invalid_status(int status)
 {
     constexpr int first = 100;
     constexpr int last = 599;
@@ -68,7 +68,7 @@
     void on_response_impl(int code, string_view reason, int version, error_code& ec) override
     {
         if constexpr (!is_request) {
-            if (is_broken_status(code)) {
+            if (is_invalid_status(code)) {
                 ec = beast::http::error::bad_status;
                 return;
             }
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -1,4 +1,5 @@
 #include "admission/quarantine.hpp"
+#include "admission/recent_runs.hpp"
 #include "admission/target_name.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -44,6 +45,66 @@
     }
 }
 
+TEST(quarantine, content_is_the_same_with_another_caller_or_key)
+{
+    const request_identity base{"GET", "/a", "acme", "k", 5};
+    CHECK_EQUAL(content_fingerprint_of(base),
+                content_fingerprint_of({"GET", "/a", "acme", "other", 5}));
+    CHECK(content_fingerprint_of(base) != content_fingerprint_of({"GET", "/b", "acme", "k", 5}));
+    CHECK(content_fingerprint_of(base) != content_fingerprint_of({"GET", "/a", "acme", "k", 6}));
+    CHECK(content_fingerprint_of(base) != content_fingerprint_of({"GET", "/a", "other", "k", 5}));
+    CHECK(content_fingerprint_of(base) != fingerprint_of({"GET", "/a", "acme", "", 5}));
+}
+
+TEST(quarantine, content_is_refused_after_three_crashes_and_for_minutes_after_four)
+{
+    const auto crash = [&](std::string_view target) {
+        on_request_sent(first_host_, crashing_request, target, now_, suspect_scope::content);
+        on_target_crashed(first_host_, target, now_);
+    };
+    first_host_.content_delay_ = seconds{5};
+    crash("a");
+    on_request_sent(first_host_, crashing_request, "b", now_, suspect_scope::content);
+    CHECK_FALSE(
+        is_quarantined(first_host_, crashing_request, now_)); // beside a run of another caller
+    on_target_crashed(first_host_, "b", now_);
+    CHECK_FALSE(is_quarantined(first_host_, crashing_request, now_));
+    CHECK_FALSE(concerns_all_hosts(suspicion_of(first_host_, crashing_request)));
+    crash("c");
+    CHECK(concerns_all_hosts(suspicion_of(first_host_, crashing_request)));
+    CHECK(is_quarantined(first_host_, crashing_request, now_ + seconds{12}));
+    now_ += seconds{13};
+    CHECK_FALSE(is_quarantined(first_host_, crashing_request, now_));
+    on_request_sent(first_host_, crashing_request, "d", now_, suspect_scope::content);
+    CHECK(is_quarantined(first_host_, crashing_request, now_)); // one run at a time
+    on_target_crashed(first_host_, "d", now_);
+    CHECK(is_quarantined(first_host_, crashing_request, now_ + refusal_lifetime - seconds{1}));
+}
+
+TEST(quarantine, other_hosts_know_that_a_suspicion_is_of_content)
+{
+    for (const char* target : {"a", "b"}) {
+        on_request_sent(first_host_, crashing_request, target, now_, suspect_scope::content);
+        on_target_crashed(first_host_, target, now_);
+    }
+    CHECK(merge(second_host_, suspicion_of(first_host_, crashing_request), now_).value());
+    CHECK(is_suspect(second_host_, crashing_request, now_));
+    CHECK_FALSE(is_quarantined(second_host_, crashing_request, now_));
+}
+
+TEST(quarantine, a_recent_run_clears_a_suspicion_and_an_old_one_does_not)
+{
+    recent_runs runs;
+    on_run_completed(runs, harmless_request, now_);
+    crash_target(first_host_, harmless_request, "a");
+    CHECK_FALSE(
+        clear_if_run_recently(first_host_, runs, harmless_request, now_ + recent_run_lifetime));
+    CHECK_FALSE(clear_if_run_recently(first_host_, runs, crashing_request, now_));
+    CHECK(clear_if_run_recently(first_host_, runs, harmless_request, now_));
+    CHECK_FALSE(is_suspect(first_host_, harmless_request, now_));
+    CHECK_FALSE(clear_if_run_recently(first_host_, runs, harmless_request, now_));
+}
+
 TEST(quarantine, refused_after_two_crashes_and_allowed_again_later)
 {
     crash_target(first_host_, crashing_request, "a");
--- a/tests/suspicion_fleet_test.cpp
+++ b/tests/suspicion_fleet_test.cpp
@@ -283,12 +283,10 @@
             for (std::size_t which = 0; which < hosts_.size(); ++which) {
                 host& one = hosts_[which];
                 const auto raised = on_target_crashed(one.known_, target, now_);
-                raise(which, raised);
                 for (const fingerprint each : raised) {
-                    if (clear_if_run_recently(one.known_, one.runs_, each, now_)) {
-                        raise(which, {each});
-                    }
+                    clear_if_run_recently(one.known_, one.runs_, each, now_);
                 }
+                raise(which, raised);
             }
         });
     }
