Leave the soak's store usable when a watch is cancelled at its timeout

Cause: asyncio.wait_for runs the wait for a change in a task of its own. Cancelled while that task waits for the lock again, it returns at once; the watch then releases a lock that it does not hold, and the task takes the lock and ends, so that nobody gets it any more. Change: asyncio.timeout, which waits in the same task. Evidence: soak_store_test, a_watch_that_is_cancelled_at_its_timeout_leaves_the_store_usable, failed before with the same error.

--- a/soak/world.py
+++ b/soak/world.py
@@ -229,9 +229,11 @@
 
         async with self.changed:
             try:
-                await asyncio.wait_for(self.changed.wait_for(
-                    lambda: (self.compacted, self.era) != (compacted, era) or self.mode or events()), wait)
-            except asyncio.TimeoutError:
+                # Not asyncio.wait_for: cancelled at its timeout, it returns before its task has the lock again.
+                async with asyncio.timeout(wait):
+                    await self.changed.wait_for(
+                        lambda: (self.compacted, self.era) != (compacted, era) or self.mode or events())
+            except TimeoutError:
                 pass
             if after < self.compacted or self.era != era:
                 return 410, {}
--- a/tests/soak_store_test.py
+++ b/tests/soak_store_test.py
@@ -39,6 +39,21 @@
                 self.assertEqual(status, 200)
                 self.assertEqual(written["spec"], {"text": "a"})
 
+    def test_a_watch_that_is_cancelled_at_its_timeout_leaves_the_store_usable(self):
+        async def play():
+            store = Store(0)
+            watch = asyncio.create_task(store.answer(f"{PATH}?watch=1&wait_ms=50"))
+            await asyncio.sleep(0)
+            async with store.changed:  # the watch times out, and waits for the lock
+                await asyncio.sleep(0.1)
+                watch.cancel()
+                await asyncio.sleep(0)
+            with self.assertRaises(asyncio.CancelledError):
+                await watch
+            await asyncio.wait_for(store.put(KIND, "one", {"text": "a"}), 1)
+
+        asyncio.run(play())
+
     def test_a_write_bound_to_another_revision_changes_nothing(self):
         async def play():
             store = Store(0)
