Let test clients share local ports, so that tests run at once do not use them up

Change: IP_BIND_ADDRESS_NO_PORT: connect chooses the port, which then serves connections to other addresses as well. No test or check changes.

--- a/tests/support/fake_upstream.cpp
+++ b/tests/support/fake_upstream.cpp
@@ -203,6 +203,11 @@
     }
     const timeval longest_read{30, 0}; // a test that waits longer has failed
     ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &longest_read, sizeof longest_read);
+    // The port is chosen by connect: one that bind chose would serve no other connection for the
+    // minute after this one, and tests that run at once would use up all ports.
+    const int port_at_connect = 1;
+    ::setsockopt(descriptor_, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &port_at_connect,
+                 sizeof port_at_connect);
     sockaddr_in own = loopback(0);
     own.sin_addr.s_addr = htonl(0x7f000000U | host);
     const sockaddr_in address = loopback(port);
