Draw no port twice in a run of the clients' tests

That it was so in this run is likely, not shown: the host's log is gone with its folder. Change: a process draws each port once. client_ports_test failed before.

--- a/tests/clients/clients.py
+++ b/tests/clients/clients.py
@@ -65,8 +65,11 @@
 ANSWER_WAIT_S = 30  # far longer than any answer takes; a host that hangs is found by it
 
 
+PORTS_DRAWN = set()  # by this process: they stay free to bind until their servers start
+
+
 def free_ports(count):
-    """Ports below the range of outgoing connections, so that none is taken by a client."""
+    """Ports below the range of outgoing connections, so that none is taken by a client. None is drawn twice."""
     ports = []
     pick = random.SystemRandom()
     while len(ports) < count:
@@ -76,7 +79,8 @@
                 probe.bind((IP, port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in PORTS_DRAWN:
+            PORTS_DRAWN.add(port)
             ports.append(port)
     return ports
 
