--- a/src/store/object_wire.cpp
+++ b/src/store/object_wire.cpp
@@ -90,8 +90,7 @@
         request.path_ = path;
         break;
     case operation::list:
-        request.path_ =
-            fmt::format("/v1/objects?prefix={}&after={}",
+        request.path_ = fmt::format("/v1/objects?prefix={}&after={}",
                                     percent_encoded(call.key_, "/"), percent_encoded(after, "/"));
         break;
     case operation::create:
