Refuse suspicions whose crashes have names that no host gives

Callers would see a request that crashes targets let through for longer, by reading of the code: nobody has reported it. Cause: a suspicion in the store may be of another writer, and any text up to 128 bytes was taken as the name of a crash. Hosts pass names on in a request line, in a list that ; and = divide; with one of these the receiver refuses the whole message, and a CR LF begins another line. Change: names hold the characters that hosts use, or the suspicion is malformed.

--- a/src/admission/quarantine.cpp
+++ b/src/admission/quarantine.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <optional>
 
@@ -138,6 +139,18 @@
     bool cleared_ = false;
 };
 
+// Hosts pass names on in request lines, in lists that other characters would break.
+bool is_crash_name(std::string_view name)
+{
+    name.remove_prefix(name.starts_with(content_mark) ? 1 : 0);
+    return !name.empty() && name.size() <= crash_name_max &&
+           std::all_of(name.begin(), name.end(), [](unsigned char each) {
+               return std::isalnum(each) != 0 ||
+                      std::string_view{"#-./:[]_"}.find(static_cast<char>(each)) !=
+                          std::string_view::npos;
+           });
+}
+
 std::optional<std::vector<named_crash>> parse_crashes(std::string_view text)
 {
     std::vector<named_crash> crashes;
@@ -149,8 +162,7 @@
             one.cleared_ = true;
             one.name_.remove_suffix(1);
         }
-        if (one.name_.empty() || one.name_.size() > crash_name_max ||
-            crashes.size() == crashes_kept_max) {
+        if (!is_crash_name(one.name_) || crashes.size() == crashes_kept_max) {
             return std::nullopt;
         }
         crashes.push_back(one);
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -1,9 +1,14 @@
 #include "admission/quarantine.hpp"
 #include "admission/recent_runs.hpp"
 #include "admission/target_name.hpp"
+#include "peer/suspicion_wire.hpp"
+#include "support/odd_names.hpp"
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <vector>
+
 using namespace savoryscale;
 using namespace savoryscale::admission;
 using std::chrono::milliseconds;
@@ -216,6 +221,24 @@
     CHECK(first_host_.running_.empty());
 }
 
+// Hosts pass the names of crashes on in a request line, and the store's ones may be of any writer.
+TEST(quarantine, a_name_from_the_store_ends_the_request_that_passes_it_on)
+{
+    for (const std::string& odd : testing::odd_names()) {
+        const peer::fact stored{peer::fact_kind::suspicion, name_of(7), 0, odd + "#1,b#1", 60};
+        const std::string path = peer::write_suspicions_path(std::vector{stored});
+        const auto read = peer::read_suspicions_path(path);
+        const bool survives =
+            read && read->size() == 1 && read->front().payload_ == stored.payload_;
+        const bool is_one_line = std::all_of(path.begin(), path.end(), [](unsigned char each) {
+            return each > ' ' && each < '\x7f';
+        });
+        CHECK_TEXT(!is_valid(stored) || (survives && is_one_line), odd.substr(0, 60).c_str());
+    }
+    CHECK(is_valid(
+        {peer::fact_kind::suspicion, name_of(7), 0, "*10.0.0.1:80/0aF3#2!,[::1]:8/7#1", 60}));
+}
+
 TEST(quarantine, malformed_facts_are_errors)
 {
     peer::fact message{peer::fact_kind::suspicion, "zz", 1, "a#1", 60};
