Build the store's client with the deploy file's options again

Cause: gcc 12 warns at -O3 (-Wrestrict, as an error) of the replacement in a string that takes from Boost; only the deploy file builds so, and it was not built before. Change: a loop over the encoded slashes.

--- a/src/store/object_wire.cpp
+++ b/src/store/object_wire.cpp
@@ -2,7 +2,6 @@
 
 #include "base/percent_encoding.hpp"
 
-#include <boost/algorithm/string/replace.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -29,7 +28,12 @@
 // Keys keep their slashes.
 std::string encoded_key(std::string_view key)
 {
-    return boost::replace_all_copy(percent_encoded(key), "%2F", "/");
+    constexpr std::string_view slash = "%2F";
+    std::string encoded = percent_encoded(key);
+    for (auto at = encoded.find(slash); at != std::string::npos; at = encoded.find(slash, at)) {
+        encoded.replace(at, slash.size(), 1, '/');
+    }
+    return encoded;
 }
 
 std::string print_value(const std::string& value)
