End a forwarded answer once

Cause: attempt_exchange::on_answer_complete forwards what is left of the body, also when nothing is, and the text of a chunk of no bytes is that of the last one. The same for answers in chunks that are empty or longer than the buffer, which is smaller short of memory. Beside it, a 304 that says it is chunked was ended by a last chunk. Change: chunk_text writes nothing for no bytes, and the last chunk has a name of its own; an answer without content is not ended. http_path_test names it too where its target ends a body.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -226,7 +226,7 @@
         head.chunked_ = true;
     }
     close_after_answer_ = close_after_answer_ || is_last_answer();
-    answer_chunked_ = head.chunked_ && !is_head_request_;
+    answer_chunked_ = has_body && head.chunked_;
     if (stream_ != nullptr) {
         stream_->write(
             caller_answer_text(head, close_after_answer_, http_task_.config().header_names_));
@@ -244,7 +244,7 @@
 void caller_connection::end_answer()
 {
     if (answer_chunked_ && stream_ != nullptr) {
-        stream_->write(chunk_text({}));
+        stream_->write(last_chunk);
     }
     end_call();
 }
--- a/src/http/head_text.cpp
+++ b/src/http/head_text.cpp
@@ -247,7 +247,7 @@
 std::string chunk_text(std::string_view bytes)
 {
     if (bytes.empty()) {
-        return "0\r\n\r\n";
+        return {};
     }
     std::string text = fmt::format("{:x}\r\n", bytes.size());
     text.append(bytes).append("\r\n");
--- a/src/http/head_text.hpp
+++ b/src/http/head_text.hpp
@@ -72,8 +72,9 @@
 std::string relayed_caller_text(const relayed_caller& caller);
 relayed_caller read_relayed_caller(const message_head& head);
 
-// One chunk of a chunked body, or the last chunk when `bytes` is empty.
+// One chunk of a chunked body; none for no bytes, since a chunk of none is the last one.
 std::string chunk_text(std::string_view bytes);
+inline constexpr std::string_view last_chunk = "0\r\n\r\n";
 
 inline constexpr std::string_view outcome_field = "Savoryscale-Outcome";
 inline constexpr std::string_view no_retry_field = "Savoryscale-No-Retry";
--- a/src/http/proxied_call_attempts.cpp
+++ b/src/http/proxied_call_attempts.cpp
@@ -277,7 +277,7 @@
 void proxied_call::end_request_on(upstream_connection& connection)
 {
     if (head_.chunked_) {
-        connection.send_body(chunk_text({}));
+        connection.send_body(last_chunk);
     }
     connection.end_request();
 }
--- a/tests/cut_off_host_test.cpp
+++ b/tests/cut_off_host_test.cpp
@@ -1,6 +1,7 @@
 // Entry hosts of which some reach no target, while callers, the store and the other hosts still
 // reach them. Each host has its own store, which lists the targets at addresses of its own.
 
+#include "support/answer_bytes.hpp"
 #include "support/relay.hpp"
 #include "support/running_routed_host.hpp"
 
@@ -22,6 +23,8 @@
 
 namespace {
 
+constexpr std::size_t unframed_bytes = 150000; // forwarded as it arrives
+
 // Answers with the body of the request, and counts the runs of each request.
 class counting_target {
 public:
@@ -59,6 +62,13 @@
                 connection.wait_for_close();
                 return;
             }
+            if (request.find("/unframed/") != std::string::npos) {
+                connection.send(fmt::format("HTTP/1.1 200 OK\r\nX-Id: {}\r\nX-Seal: s\r\n\r\n{}",
+                                            field_of(request, "X-Id"),
+                                            std::string(unframed_bytes, 'p')));
+                connection.close();
+                return;
+            }
             if (request.find("/broken/") != std::string::npos) {
                 connection.send("HTTP/1.1 000 X\r\nContent-Length: 6\r\n\r\nbroken");
                 connection.wait_for_close();
@@ -277,6 +287,24 @@
     }
 }
 
+// The caller's next answer begins where a second last chunk would stand.
+TEST(cut_off_host, an_answer_without_a_length_ends_twice_through_another_host)
+{
+    start(4);
+    cut(0, path_cut::reset);
+    call_for(0, 3s);
+    const auto before = handed_on();
+    test_client caller{hosts[0]->port()};
+    caller.send("GET /look/unframed/ HTTP/1.1\r\nHost: a.example\r\nX-Id: 7777\r\n\r\n"
+                "GET /look/7 HTTP/1.1\r\nHost: a.example\r\nX-Id: 7778\r\n"
+                "Connection: close\r\n\r\n");
+    std::string bytes = caller.read_to_end();
+    CHECK(take_answer(bytes) == std::string(unframed_bytes, 'p'));
+    CHECK(take_answer(bytes) == "done");
+    LONGS_EQUAL(0, bytes.size());
+    CHECK(handed_on() >= before + 2);
+}
+
 TEST(cut_off_host, callers_wait_where_no_host_reaches_a_target)
 {
     start(4);
--- a/tests/http_path_test.cpp
+++ b/tests/http_path_test.cpp
@@ -92,7 +92,7 @@
         connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         connection.send(http::chunk_text(part));
         connection.send(http::chunk_text("end"));
-        connection.send(http::chunk_text({}));
+        connection.send(http::last_chunk);
         connection.read_request();
     }};
     running_http_task host{single_service_settings({upstream.port()})};
