Send no content after the head of a page when asked with HEAD

Callers would see: the platform, or a host, that asks a kept connection with HEAD reads the page's content as its next answer. Cause: page_connection answers each method alike. Change: no content is written for HEAD. Evidence: forwarded_answers.the_content_of_a_page_follows_its_head_alone failed before and passes; the other three tests of the file pass.

--- a/src/http/page_connection.cpp
+++ b/src/http/page_connection.cpp
@@ -82,7 +82,9 @@
                                content.status_, content.status_ < 300 ? "OK" : "Unavailable",
                                content.content_type_, content.body_.size(),
                                keep_alive_ ? "" : "Connection: close\r\n"));
-    stream_->write(content.body_);
+    if (reader_.head().method_ != "HEAD") {
+        stream_->write(content.body_);
+    }
     if (!keep_alive_) {
         close_gracefully();
         return;
--- a/tests/forwarded_answers_test.cpp
+++ b/tests/forwarded_answers_test.cpp
@@ -6,6 +6,7 @@
 #include "support/answer_bytes.hpp"
 #include "support/fake_upstream.hpp"
 #include "support/running_http_task.hpp"
+#include "support/running_routed_host.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
@@ -163,3 +164,21 @@
     CHECK(take_answer(bytes) == "second");
     LONGS_EQUAL(0, bytes.size());
 }
+
+// Hosts answer each other, and the platform, with pages of their own.
+TEST(forwarded_answers, the_content_of_a_page_follows_its_head_alone)
+{
+    scripted_store store;
+    settings::settings config = directory_settings(store.port());
+    config.directory_->feed_ = settings::directory_feed{{"127.0.0.1", 0}, {}, 30ms, {}};
+    running_routed_host host{config};
+    test_client reader{host.feed_port()};
+    reader.send("HEAD /directory HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(100ms);
+    reader.send("GET /directory HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    std::string bytes = reader.read_to_end();
+    const auto head_only = take_answer(bytes, false);
+    const auto page = take_answer(bytes);
+    CHECK(head_only && page && !page->empty());
+    LONGS_EQUAL(0, bytes.size());
+}
