--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -1,6 +1,7 @@
 // Answers of targets that break the protocol. The caller gets none of their bytes, the attempt ends
 // at once and is charged to the target, and a request that may be repeated goes to another one.
 
+#include "peer/feed_wire.hpp"
 #include "support/running_routed_host.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -349,6 +350,42 @@
     CHECK(host.reaches(2, 2));
 }
 
+// The page itself is sound: with 200 the host takes it.
+TEST(broken_answers, a_page_of_the_feed_with_a_broken_status_is_applied)
+{
+    directory::feed_page page;
+    page.epoch_ = 5;
+    page.complete_ = true;
+    page.targets_revision_ = page.configuration_revision_ = 900;
+    page.version_ = 9;
+    page.document_ = state_json(9, {route_json("look", "/look/", "safe", "ledger")}).dump();
+    const std::string bytes = peer::write_feed_page(page);
+    replying_targets targets{""};
+    publish(targets);
+    for (const char* status : {"000", "099", "600", "200"}) {
+        std::atomic<int> pages = 0;
+        fake_upstream peer{[&](script_connection& connection, int) {
+            while (!connection.read_request().empty()) {
+                ++pages;
+                connection.send(with_status(status, bytes));
+            }
+        }};
+        settings::settings config = directory_settings(store.port());
+        config.directory_->feed_ =
+            settings::directory_feed{{"127.0.0.1", 0}, {{"127.0.0.1", peer.port()}}, 30ms, {}};
+        running_routed_host host{config};
+        const bool is_sound = status == std::string_view{"200"};
+        CHECK_TEXT(is_sound ? host.reaches(9, 0) : host.reaches(1, 2), status);
+        for (int i = 0; i < 600 && pages < 2; ++i) {
+            std::this_thread::sleep_for(10ms);
+        }
+        CHECK_TEXT(pages > 0, status);
+        host.run([&](http::http_task& task) {
+            LONGS_EQUAL_TEXT(is_sound ? 9 : 1, task.routes()->state_.version_, status);
+        });
+    }
+}
+
 TEST(broken_answers, sound_answers_are_passed_on)
 {
     for (const reply& each : sound_replies()) {
