Skip no usable name where a list continues after a long one

Cause: cut a long name back to the beginning of a character, however far: a name of continuation bytes alone was cut to nothing, and the list went on after all names. Change: the cut goes forward, by three bytes at most. Result: follow.a_long_name_skips_names_that_can_be_used failed before and passes; store_names_test passes (8).

--- a/src/directory/follow.cpp
+++ b/src/directory/follow.cpp
@@ -56,6 +56,12 @@
     return !name.empty() && name.size() <= name_max_bytes && percent_encoded(name) == name;
 }
 
+// Whether the byte is one of a UTF-8 character after its first.
+bool is_continuation(char byte)
+{
+    return (static_cast<unsigned char>(byte) & 0xc0U) == 0x80U;
+}
+
 // A name to continue a list after, in place of one that a call cannot carry.
 std::string short_name_from(std::string name)
 {
@@ -63,11 +69,13 @@
         return std::string(1, '\0'); // no other name is in between
     }
     if (name.size() > name_max_bytes) {
+        constexpr std::size_t character_max = 4; // bytes
         std::size_t end = name_max_bytes;
-        while (end > 0 && (static_cast<unsigned char>(name[end]) & 0xc0U) == 0x80U) {
-            --end; // not within a character
+        while (end < std::min(name.size(), name_max_bytes + character_max - 1) &&
+               is_continuation(name[end])) {
+            ++end;
         }
-        // The last code point: what it skips is too long to be of use.
+        // The last code point: what it skips is longer than name_max_bytes too.
         name.replace(end, std::string::npos, "\xf4\x8f\xbf\xbf");
     }
     return name;
--- a/tests/follow_test.cpp
+++ b/tests/follow_test.cpp
@@ -151,6 +151,20 @@
     CHECK(!is_whole({"&", "&"}));
 }
 
+// Names that share the beginning of a longer one up to its limit are as long, and of no use.
+TEST(follow, a_long_name_skips_names_that_can_be_used)
+{
+    for (const std::string& name :
+         {std::string(9000, 'y'), std::string(255, 'y') + "\xc3\xa4z", std::string(9000, '\x80')}) {
+        state = directory::follow_state{};
+        directory::on_list_page(state, {{named(name)}, true, 10}, now);
+        const std::string after = directory::next_call(state, now).after_;
+        CHECK(after > name);
+        CHECK(after.size() < 300);
+        CHECK(after.starts_with(name.substr(0, directory::name_max_bytes)));
+    }
+}
+
 // Otherwise each host repeats the first page of a list that cannot be read some 60 times a second.
 TEST(follow, lists_whose_second_page_fails_follow_each_other_without_a_pause)
 {
