Run the soak beside entries of another writer, with lists of several pages

Change: pages of four objects, odd names on the first two pages and between the targets, 400 for a malformed request line; not where two releases run, since the earlier one cannot read such lists.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -25,7 +25,7 @@
 
 from callers import Callers
 from terms import EVACUATION_S, OVERAGE, SLACK, WINDOW_S, Terms
-from world import IP, KILLER_PATH, Proxy, Store, Target, message, read_message
+from world import FOREIGN_NAMES, IP, KILLER_PATH, Proxy, Store, Target, message, read_message
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SEEDS = ROOT / "soak" / "seeds.txt"
@@ -174,6 +174,9 @@
                 await server.start()
             for target in self.targets:
                 await target.start()
+            # Hosts of an earlier release may not read a list that holds such names.
+            for name in FOREIGN_NAMES if not self.options.other_program else []:
+                await self.store.put("servers", name, {"state": "ready"})
             await self.publish()
             for host in self.hosts:
                 await host.start()
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,10 +8,14 @@
 import hashlib
 import json
 import random
+import urllib.parse
 
 IP = "127.0.0.1"
 SLOTS = 2
 TARGET_QUEUE = 4
+PAGE = 4  # objects on a page of a list
+# Entries of another writer: the first two pages of the list, and others among those of targets ("t0-1").
+FOREIGN_NAMES = ["a\r\nX-Injected: 1", "a b", "a#b", "a#c", "a%41", "a&b", "a+b", "a/b", "t0#1", "t1 ", "t3?", "\u00e4"]
 HEARTBEAT_S = 0.5  # between two writes of a target's entry
 KILLER_PATH = "/sell/killer-"  # crashes each target that begins to run it
 EXPIRY_HEARTBEATS = 3  # missed heartbeats after which the entry of a target is removed
@@ -177,9 +181,12 @@
                     await asyncio.sleep(0.05)
                 if self.mode == "slow":
                     await asyncio.sleep(0.25)
-                method, path, _ = request[0].split()
+                method, _, target = request[0].partition(" ")
+                path, _, version = target.partition(" ")
                 if self.mode == "down":
                     status, body = 503, {}
+                elif version != "HTTP/1.1" or not path.isascii() or "#" in path:
+                    status, body = 400, {}
                 elif method == "GET":
                     status, body = await self.answer(path)
                 else:
@@ -195,7 +202,7 @@
     async def write(self, method, path, body):
         """Creates, replaces or removes an object of the hosts' own."""
         path, _, query = path.partition("?")
-        kind, *named = path.split("/")[3:]
+        kind, *named = map(urllib.parse.unquote, path.split("/")[3:])
         known = self.objects.get(kind, {})
         given = json.loads(body) if body else {"metadata": {}}
         name = named[0] if named else given["metadata"]["name"]
@@ -211,13 +218,15 @@
 
     async def answer(self, path):
         path, _, query = path.partition("?")
-        kind, *named = path.split("/")[3:]
+        kind, *named = map(urllib.parse.unquote, path.split("/")[3:])
         if named:
             known = self.objects.get(kind, {}).get(named[0])
             return (200, known) if known else (404, {})
-        parameters = dict(part.split("=", 1) for part in query.split("&")) if query else {}
+        parameters = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if "watch" not in parameters:
-            return 200, {"items": list(self.objects.get(kind, {}).values()), "has_more": False,
+            known = self.objects.get(kind, {})
+            names = sorted(name for name in known if name > parameters.get("after", ""))
+            return 200, {"items": [known[name] for name in names[:PAGE]], "has_more": len(names) > PAGE,
                          "store_revision": self.revision}
         after, wait = int(parameters["watch"]), int(parameters["wait_ms"]) / 1000
         compacted, era = self.compacted, self.era
--- a/tests/soak_store_test.py
+++ b/tests/soak_store_test.py
@@ -9,10 +9,11 @@
 import pathlib
 import sys
 import unittest
+import urllib.parse
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
 
-from world import Store  # noqa: E402
+from world import FOREIGN_NAMES, Store  # noqa: E402
 
 KIND = "notes"
 PATH = f"/api/v1/{KIND}"
@@ -54,6 +55,22 @@
 
         asyncio.run(play())
 
+    def test_a_list_has_all_names_on_pages_of_their_own(self):
+        async def play():
+            store = Store(0)
+            names = sorted([*FOREIGN_NAMES, "t0-1", "t1-1", "z"])
+            for name in names:
+                await store.put(KIND, name, {})
+            listed, more = [], True
+            while more:
+                query = "?after=" + urllib.parse.quote(listed[-1], safe="") if listed else ""
+                _, page = await store.answer(PATH + query)
+                listed += [item["metadata"]["name"] for item in page["items"]]
+                more = page["has_more"]
+            self.assertEqual(listed, names)
+
+        asyncio.run(play())
+
     def test_a_write_bound_to_another_revision_changes_nothing(self):
         async def play():
             store = Store(0)
