--- a/tests/forwarded_answers_test.cpp
+++ b/tests/forwarded_answers_test.cpp
@@ -107,6 +107,7 @@
 
 TEST_GROUP(forwarded_answers){};
 
+// The end of the body was written when nothing was left to forward, and then once more.
 TEST(forwarded_answers, a_last_chunk_stands_where_the_next_answer_is_due)
 {
     for (const framing how : all_framings) {
--- a/tests/store_names_test.cpp
+++ b/tests/store_names_test.cpp
@@ -111,6 +111,7 @@
     }
 };
 
+// The call for the next page is malformed, or asks for another page: the list never ends.
 TEST(store_names, an_odd_name_anywhere_on_a_page_hides_the_other_targets)
 {
     for (const std::string& odd : odd_names()) {
@@ -123,6 +124,7 @@
     }
 }
 
+// No name on the page serves to continue the list as it is.
 TEST(store_names, a_page_of_odd_names_only_hides_the_other_targets)
 {
     named_objects all_odd = targets(5, 6);
@@ -138,6 +140,7 @@
     }
 }
 
+// Guards a reader that refuses all changes of a response for one of them.
 TEST(store_names, a_watch_that_tells_of_an_odd_name_hides_the_other_targets)
 {
     for (const std::string& odd : odd_names()) {
@@ -197,6 +200,7 @@
     }
 }
 
+// As the users saw it; each host also repeated the malformed call without a pause.
 TEST(store_names, a_host_that_starts_while_an_odd_name_ends_a_page_serves_nobody)
 {
     store.set_page_size(page_max);
@@ -212,6 +216,7 @@
     }
 }
 
+// A CR LF in the id ends the field that names the expected instance.
 TEST(store_names, the_name_of_an_entry_adds_a_field_to_the_requests_of_its_target)
 {
     std::atomic<int> injected = 0;
