--- a/tests/crashing_callers_test.py
+++ b/tests/crashing_callers_test.py
@@ -26,7 +26,7 @@
 
 async def run_killer():
     options = argparse.Namespace(base_port=21000 + PORTS * (os.getpid() % 8), hosts=5, targets=12, callers=4, seconds=1,
-                                 program=pathlib.Path(PROGRAM))
+                                 program=pathlib.Path(PROGRAM), other_program=None)
     run = KillerRun(1, options)
     await execute_in_time(run)
     shutil.rmtree(run.folder)
