Require the page of the feed to be readable in the test of odd names

Cause: the check also passed where the whole page could not be read, which is what one bad name must not do. Change: the page must be read.

--- a/tests/store_names_test.cpp
+++ b/tests/store_names_test.cpp
@@ -196,7 +196,7 @@
         page.targets_.back().entry_ = *platform::dialect().read_target_("i-1", server_json(1000));
         page.targets_.back().entry_.id_ = name;
         const auto fed = peer::read_feed_page(peer::write_feed_page(page));
-        CHECK_TEXT(!fed || fed->targets_.size() == (read ? 1U : 0U), printed(name).c_str());
+        CHECK_TEXT(fed && fed->targets_.size() == (read ? 1U : 0U), printed(name).c_str());
     }
 }
 
