Continue lists of a store that reads names as they stand

Change: encoded names stay the first choice, since nothing is skipped after them. A list that returns after one goes on after the least plain name above it, which the store reads alike in any encoding, and reads the object of that name by itself, since `after` leaves it out. What is skipped needs encoding, and the log names where that begins (store_names_skipped). The other tests of store_names_test passed before and are kept.

--- a/src/directory/dialect.hpp
+++ b/src/directory/dialect.hpp
@@ -25,7 +25,7 @@
     std::string_view suspicions_kind_; // of this system's own: requests that crash targets
     std::string_view era_field_;       // header field of an answer that names the store's era
 
-    // Path and query of the GET request that lists or watches a kind.
+    // Path and query of the GET request that lists or watches a kind, or reads an object of it.
     std::string (*call_path_)(std::string_view kind, const follow_call&) = nullptr;
     // Path of one object, the path that removes it if it is of this revision, and the document that
     // creates it (revision 0), or replaces it if it is of this revision.
--- a/src/directory/follow.cpp
+++ b/src/directory/follow.cpp
@@ -50,12 +50,27 @@
 }
 
 // A store may refuse other names in a request, or decode them in its own way.
-bool is_plain(const stored_object& object)
+bool is_plain(const std::string& name)
 {
-    const std::string& name = object.name_;
     return !name.empty() && name.size() <= name_max_bytes && percent_encoded(name) == name;
 }
 
+// The least plain name above one that is not plain, in the order of bytes; none if there is none.
+std::optional<std::string> plain_name_above(const std::string& name)
+{
+    constexpr char last_plain = '~';
+    const auto is_plain_byte = [](char byte) { return is_plain(std::string(1, byte)); };
+    const auto first_odd = std::find_if_not(name.begin(), name.end(), is_plain_byte);
+    for (auto at = static_cast<std::size_t>(first_odd - name.begin()) + 1; at-- > 0;) {
+        for (int byte = static_cast<unsigned char>(name[at]) + 1; byte <= last_plain; ++byte) {
+            if (is_plain_byte(static_cast<char>(byte))) {
+                return name.substr(0, at) + static_cast<char>(byte);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 // Whether the byte is one of a UTF-8 character after its first.
 bool is_continuation(char byte)
 {
@@ -86,7 +101,8 @@
 std::optional<std::string> take_continuation(list_page& page)
 {
     auto& objects = page.objects_;
-    const auto plain = std::find_if(objects.rbegin(), objects.rend(), is_plain);
+    const auto plain = std::find_if(objects.rbegin(), objects.rend(),
+                                    [](const auto& object) { return is_plain(object.name_); });
     if (plain != objects.rend()) {
         objects.erase(plain.base(), objects.end());
         return objects.back().name_;
@@ -97,10 +113,46 @@
     return objects.empty() ? std::nullopt : std::optional{short_name_from(objects.back().name_)};
 }
 
-void discard_list(follow_state& state)
+// Whether a list that would continue after the name returns to a part that was read already.
+bool is_return(const follow_state& state, const std::string& name)
+{
+    const auto& listed = state.listed_objects_;
+    return state.continued_after_.count(name) > 0 ||
+           std::any_of(listed.begin(), listed.end(),
+                       [&](const stored_object& each) { return each.name_ == name; });
+}
+
+// As take_continuation. If the store did not read the name in the last call as it was sent, the
+// list continues after plain names only; without one above it the page is the last.
+std::optional<std::string> continue_list(follow_state& state, list_page& page,
+                                         follow_update& update)
+{
+    auto next = take_continuation(page);
+    if (next && !state.after_.empty() && !is_plain(state.after_) && is_return(state, *next)) {
+        state.skips_odd_names_ = true;
+        page.objects_.clear();
+        next = state.after_;
+    }
+    if (next && state.skips_odd_names_ && !is_plain(*next)) {
+        update.skipped_from_ = next;
+        next = plain_name_above(*next);
+        state.unlisted_name_ = next.value_or("");
+        page.more_ = next.has_value();
+    }
+    return next;
+}
+
+void end_list(follow_state& state)
 {
     state.after_.clear();
     state.continued_after_.clear();
+    state.skips_odd_names_ = false;
+    state.unlisted_name_.clear();
+}
+
+void discard_list(follow_state& state)
+{
+    end_list(state);
     state.listed_objects_.clear();
     state.has_stale_list_ = false;
 }
@@ -120,6 +172,9 @@
     if (state.listed_) {
         return {true, {}, state.revision_, watch_wait(state, now), false};
     }
+    if (!state.unlisted_name_.empty()) {
+        return {false, {}, 0, {}, false, state.unlisted_name_};
+    }
     return {false, state.after_, 0, {}, can_list_be_stale(state)};
 }
 
@@ -158,7 +213,7 @@
         state.resumed_ = false;
     }
     state.oldest_revision_ = std::min(state.oldest_revision_, page.revision_);
-    const auto next = page.more_ ? take_continuation(page) : std::nullopt;
+    const auto next = page.more_ ? continue_list(state, page, update) : std::nullopt;
     std::move(page.objects_.begin(), page.objects_.end(),
               std::back_inserter(state.listed_objects_));
     state.due_ = now;
@@ -173,8 +228,7 @@
     update.outage_duration_ = record_success(state, now);
     state.listed_ = true;
     state.revision_ = state.oldest_revision_;
-    state.after_.clear();
-    state.continued_after_.clear();
+    end_list(state);
     state.confirmed_ = !can_list_be_stale(state);
     if (!state.confirmed_) {
         state.has_stale_list_ = true;
@@ -202,6 +256,20 @@
     return update;
 }
 
+void on_object(follow_state& state, std::optional<stored_object> object, std::uint64_t era,
+               time_point now)
+{
+    state.due_ = now;
+    if (is_from_other_era(state, era)) {
+        discard_list(state);
+        return;
+    }
+    state.unlisted_name_.clear();
+    if (object) {
+        state.listed_objects_.push_back(std::move(*object));
+    }
+}
+
 bool is_overtaken(const known_revision& answered, const known_revision& told)
 {
     return answered.revision_ < told.revision_ && answered.since_ <= told.since_;
--- a/src/directory/follow.hpp
+++ b/src/directory/follow.hpp
@@ -39,6 +39,8 @@
     bool resumed_ = false;                      // the revision came from another source
     std::string after_;                         // the next page begins after this name
     std::set<std::string> continued_after_;     // names that were after_ since the list began
+    bool skips_odd_names_ = false;              // this list continues after plain names only
+    std::string unlisted_name_;                 // the list continued after it without listing it
     std::vector<stored_object> listed_objects_; // from the pages so far, or of a stale list
     bool has_stale_list_ = false;               // listed_objects_ is a complete list, held back
     std::uint64_t oldest_revision_ = 0;         // of the pages so far
@@ -55,6 +57,7 @@
     std::uint64_t revision_ = 0; // watch: changes after this revision
     duration wait_{};            // watch: how long the store may hold the response
     bool allow_stale_ = false;   // list: stale data is allowed
+    std::string name_{};         // not empty: read this object only
 };
 
 // The result of a response. Never contains data that may be stale.
@@ -63,6 +66,9 @@
     std::vector<stored_object> objects_;
     std::optional<duration> outage_duration_; // set when the store responds again
     bool stalled_ = false; // the page does not continue the list: the call has failed
+    // Names from this one on are skipped up to the next plain one, since the store reads it
+    // differently in a call.
+    std::optional<std::string> skipped_from_;
 };
 
 follow_call next_call(const follow_state&, time_point now);
@@ -80,6 +86,11 @@
 follow_update on_list_page(follow_state&, list_page page, time_point now);
 follow_update on_changes(follow_state&, change_page page, time_point now);
 
+// Handles the answer to the read of an object, which the list has skipped. None: there is no such
+// object.
+void on_object(follow_state&, std::optional<stored_object> object, std::uint64_t era,
+               time_point now);
+
 // What a source says, and since when: the answer to a call by when the call began, another host's
 // word by when it came.
 struct known_revision {
--- a/src/directory/follower.cpp
+++ b/src/directory/follower.cpp
@@ -27,6 +27,7 @@
 
 constexpr int http_ok = 200;
 constexpr int http_too_many_requests = 429;
+constexpr int http_not_found = 404;
 constexpr int http_gone = 410;
 constexpr int http_unavailable = 503;
 
@@ -42,6 +43,7 @@
     switch (answer.head_.status_) {
     case http_ok:
         return store::call_status::ok;
+    case http_not_found:
     case http_gone:
         return store::call_status::not_found;
     case http_too_many_requests:
@@ -52,6 +54,14 @@
     }
 }
 
+store::operation operation_of(const follow_call& call)
+{
+    if (!call.name_.empty()) {
+        return store::operation::get;
+    }
+    return call.watch_ ? store::operation::watch : store::operation::list;
+}
+
 } // namespace
 
 follower::follower(http::event_loop& loop, http::connection_pool& pool,
@@ -119,7 +129,7 @@
 {
     call_began_ = loop_.now();
     const follow_call next = next_call(state_, call_began_);
-    if (next.after_.empty()) {
+    if (next.after_.empty() && next.name_.empty()) {
         answer_began_ = call_began_;
     }
     auto started = std::make_unique<http::buffered_exchange>(
@@ -128,21 +138,21 @@
                     pool_.name()),
         answer_max_bytes);
     exchange_ = std::move(started);
-    const bool began =
-        exchange_->start(pool_, next.wait_ + answer_timeout,
-                         [this, watch = next.watch_](const http::buffered_answer& answer) {
-                             on_answer(answer, watch);
-                         });
+    const bool began = exchange_->start(
+        pool_, next.wait_ + answer_timeout,
+        [this, next](const http::buffered_answer& answer) { on_answer(answer, next); });
     if (!began) {
         exchange_.reset();
         fail("no free connection");
     }
 }
 
-void follower::on_answer(const http::buffered_answer& answer, bool watch)
+void follower::on_answer(const http::buffered_answer& answer, const follow_call& call)
 {
     loop_.destroy_later(std::move(exchange_)); // its callback is still on the stack
-    events_.on_call_(watch ? store::operation::watch : store::operation::list, status_of(answer));
+    const store::operation operation = operation_of(call);
+    const store::call_status status = status_of(answer);
+    events_.on_call_(operation, status);
     const bool answered = answer.end_ == http::buffered_answer::end::answered;
     const auto era = answered ? read_store_era(http::find_field(answer.head_, dialect_.era_field_))
                               : std::nullopt;
@@ -150,7 +160,7 @@
         fail("the answer is of an era of the store that has ended");
         return;
     }
-    if (watch && is_from_other_era(state_, era.value_or(0))) {
+    if (call.watch_ && is_from_other_era(state_, era.value_or(0))) {
         fail("the store came back from an older copy");
         return;
     }
@@ -160,19 +170,29 @@
         on_history_gone(state_, loop_.now());
         schedule();
     }
-    else if (status_of(answer) != store::call_status::ok) {
+    else if (status != store::call_status::ok &&
+             !(operation == store::operation::get && status == store::call_status::not_found)) {
         fail(fmt::format("exchange ended with result {}, HTTP status {}",
                          static_cast<int>(answer.end_), answer.head_.status_));
     }
-    else if (std::string reason = read(answer, watch, era.value_or(0)); !reason.empty()) {
+    else if (std::string reason = read(answer, call, era.value_or(0)); !reason.empty()) {
         fail(std::move(reason));
     }
 }
 
 // Returns why the answer cannot be used; empty: it was.
-std::string follower::read(const http::buffered_answer& answer, bool watch, std::uint64_t era)
+std::string follower::read(const http::buffered_answer& answer, const follow_call& call,
+                           std::uint64_t era)
 {
-    if (watch) {
+    if (!call.name_.empty()) {
+        // An object that cannot be read is passed over, as on a page of a list.
+        auto object = dialect_.read_object_(answer.body_);
+        on_object(state_, object ? std::optional{std::move(*object)} : std::nullopt, era,
+                  loop_.now());
+        schedule();
+        return {};
+    }
+    if (call.watch_) {
         auto changes = dialect_.read_changes_(answer.body_);
         if (!changes) {
             return to_string(changes.error());
@@ -190,6 +210,11 @@
     if (update.stalled_) {
         return "the page does not continue the list";
     }
+    if (update.skipped_from_) {
+        telemetry::state_change("store_names_skipped",
+                                {{"kind", kind_}, {"from", percent_encoded(*update.skipped_from_)}},
+                                telemetry::severity::warning);
+    }
     report_update(std::move(update));
     return {};
 }
--- a/src/directory/follower.hpp
+++ b/src/directory/follower.hpp
@@ -81,8 +81,9 @@
 private:
     void call();
     void schedule();
-    void on_answer(const http::buffered_answer& answer, bool watch);
-    std::string read(const http::buffered_answer& answer, bool watch, std::uint64_t era);
+    void on_answer(const http::buffered_answer& answer, const follow_call& call);
+    std::string read(const http::buffered_answer& answer, const follow_call& call,
+                     std::uint64_t era);
     void fail(std::string reason);
     void report_update(follow_update update);
 
--- a/tests/store_names_test.cpp
+++ b/tests/store_names_test.cpp
@@ -57,16 +57,27 @@
 }
 
 // The names of the targets that a host knows once it has read the list; none if it never has.
-std::set<std::string> targets_read(const named_objects& objects, std::size_t per_page)
+std::set<std::string> targets_read(const named_objects& objects, std::size_t per_page,
+                                   value_reading reading = value_reading::as_in_a_form)
 {
     constexpr int calls_max = 200;
     directory::follow_state state;
     for (int i = 0; i < calls_max; ++i) {
-        const auto target =
-            read_store_target(platform::dialect().call_path_("servers", next_call(state, {})));
+        const auto target = read_store_target(
+            platform::dialect().call_path_("servers", next_call(state, {})), reading);
         if (!target) {
             return {};
         }
+        if (target->path_.size() > 3) {
+            const auto found = objects.find(target->path_[3]);
+            std::optional<directory::stored_object> object;
+            if (found != objects.end()) {
+                object =
+                    *platform::dialect().read_object_(object_text(found->first, found->second));
+            }
+            directory::on_object(state, std::move(object), 0, {});
+            continue;
+        }
         const auto after = target->query_.find("after");
         auto page = platform::dialect().read_list_(store_page(
             objects, after == target->query_.end() ? std::nullopt : std::optional{after->second},
@@ -75,6 +86,9 @@
             return {};
         }
         const auto update = directory::on_list_page(state, std::move(*page), {});
+        if (update.stalled_) {
+            return {};
+        }
         if (!update.complete_) {
             continue;
         }
@@ -140,6 +154,64 @@
     }
 }
 
+// Any names and pages, however the store reads names: all that need no encoding are found, and the
+// others too where it decodes them.
+TEST(store_names, a_list_of_any_names_lacks_usable_ones)
+{
+    random_source random{60};
+    const std::vector<std::string> letters{"a", "Y",    "-",        "~", "2", "&", "+",
+                                           "%", "\xff", "\xc3\xa9", "#", " ", "/", "!"};
+    for (int run = 0; run < 4000; ++run) {
+        std::vector<std::string> used; // few, so that many names sort next to each other
+        while (used.size() < 4) {
+            used.push_back(letters[uniform_below(random, letters.size())]);
+        }
+        named_objects objects;
+        const std::uint64_t count = 1 + uniform_below(random, 12);
+        for (std::uint64_t i = 0; i < count; ++i) {
+            std::string name;
+            for (std::uint64_t length = 1 + uniform_below(random, 3); name.size() < length;) {
+                name += used[uniform_below(random, used.size())];
+            }
+            objects[name] = object_of(server_json(1000));
+        }
+        const std::size_t per_page = 1 + uniform_below(random, 4);
+        for (const value_reading reading : value_readings) {
+            std::set<std::string> wanted;
+            for (const std::string& name : names_of(objects)) {
+                const bool decoded = reading != value_reading::as_it_stands;
+                if (percent_encoded(name) == name ||
+                    (decoded && platform::dialect().read_target_(name, server_json(1000)) &&
+                     is_utf8(name))) {
+                    wanted.insert(name);
+                }
+            }
+            const auto read = targets_read(objects, per_page, reading);
+            CHECK_TEXT(std::includes(read.begin(), read.end(), wanted.begin(), wanted.end()),
+                       fmt::format("run {}", run).c_str());
+        }
+    }
+}
+
+// The list returns to its beginning, to other pages than before.
+TEST(store_names, a_list_that_returns_to_other_pages_lacks_usable_names)
+{
+    named_objects objects;
+    for (const char* name : {"!", "a", "b", "c", "d",
+                             "\xc3\xa9"
+                             "1",
+                             "\xc3\xa9"
+                             "2",
+                             "\xc3\xa9"
+                             "3",
+                             "\xc3\xa9"
+                             "4"}) {
+        objects[name] = object_of(server_json(1000));
+    }
+    const auto read = targets_read(objects, 3, value_reading::as_it_stands);
+    CHECK(read.count("a") + read.count("b") + read.count("c") + read.count("d") == 4);
+}
+
 // Guards a reader that refuses all changes of a response for one of them.
 TEST(store_names, a_watch_that_tells_of_an_odd_name_hides_the_other_targets)
 {
@@ -216,6 +288,60 @@
     }
 }
 
+// The page after an odd name is another one, or the same again, if the store reads it differently.
+TEST(store_names, a_store_that_reads_names_in_its_own_way_hides_the_other_targets)
+{
+    put_targets(3, "a");
+    put_targets(3, "z");
+    // Plain names that sort just above those of the other writer.
+    for (const char* name : {"-", "x-", "x0", "xA", "x_", "xa", "x~", "y"}) {
+        store.put("servers", name, server_json(next_port++, "photos"));
+    }
+    const auto check = [this](const std::string& what) {
+        for (const value_reading reading : value_readings) {
+            store.set_reading(reading);
+            for (const std::size_t per_page : {1, 4}) {
+                store.set_page_size(per_page);
+                const int calls = store.calls();
+                running_routed_host host{store.port()};
+                CHECK_TEXT(host.reaches(1, 14, "photos"), what.c_str());
+                CHECK_TEXT(store.calls() - calls < 120, what.c_str());
+            }
+        }
+    };
+    std::vector<std::string> odd = odd_names();
+    odd.insert(odd.end(), {"&", "\xc3\xa9", "\xff", "x~\xff", std::string(300, '\xff')});
+    for (const std::string& name : odd) {
+        store.put("servers", name, foreign_entry);
+        check(printed(name));
+        store.remove("servers", name);
+    }
+    for (const std::string& name : odd) {
+        store.put("servers", name, foreign_entry);
+    }
+    check("all odd names");
+}
+
+// Guards a list that passes over odd names although the store reads them as they were sent.
+TEST(store_names, a_whole_entry_under_an_odd_name_is_passed_over)
+{
+    std::size_t whole = 0;
+    for (const char* name : {"x y", "x#y", "x%y", "x&y", "x+y", "x/y", "x\xc3\xa9", "x&z"}) {
+        store.put("servers", name, server_json(next_port++, "photos"));
+        ++whole;
+    }
+    put_targets(2, "z");
+    for (const value_reading reading :
+         {value_reading::as_in_a_form, value_reading::percent_decoded}) {
+        store.set_reading(reading);
+        for (const std::size_t per_page : {1, 3}) {
+            store.set_page_size(per_page);
+            running_routed_host host{store.port()};
+            CHECK(host.reaches(1, whole + 2, "photos"));
+        }
+    }
+}
+
 // A CR LF in the id ends the field that names the expected instance.
 TEST(store_names, the_name_of_an_entry_adds_a_field_to_the_requests_of_its_target)
 {
--- a/tests/support/running_routed_host.hpp
+++ b/tests/support/running_routed_host.hpp
@@ -92,6 +92,9 @@
         page_max_ = objects;
     }
 
+    // From now on values in the query of a call are read in this way.
+    void set_reading(value_reading reading) { reading_ = reading; }
+
     // From now on lists of targets are sent this long after they were made.
     void delay_lists(std::chrono::milliseconds delay) { list_delay_ = delay; }
 
@@ -185,7 +188,7 @@
                 continue;
             }
             const int restorations = restorations_;
-            const auto target = read_store_request(request);
+            const auto target = read_store_request(request, reading_);
             if (!target || target->path_.size() < 3) {
                 connection.send("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n");
                 continue;
@@ -357,6 +360,7 @@
     std::atomic<int> unconditional_writes_ = 0;
     std::atomic<int> lists_ = 0;
     std::size_t page_max_ = 500;
+    std::atomic<value_reading> reading_ = value_reading::as_in_a_form;
     std::atomic<std::chrono::milliseconds> list_delay_{};
     std::uint64_t revision_ = 10;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
--- a/tests/support/store_pages.hpp
+++ b/tests/support/store_pages.hpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -22,13 +23,30 @@
 // A larger request target is refused, as many servers do.
 constexpr std::size_t target_max_bytes = 8000;
 
+// How a store reads a value in the query of a call.
+enum class value_reading { as_in_a_form, percent_decoded, as_it_stands };
+inline constexpr std::array value_readings{
+    value_reading::as_in_a_form, value_reading::percent_decoded, value_reading::as_it_stands};
+
+inline std::optional<std::string> read_value(std::string value, value_reading reading)
+{
+    if (reading == value_reading::as_it_stands) {
+        return value;
+    }
+    if (reading == value_reading::as_in_a_form) {
+        std::replace(value.begin(), value.end(), '+', ' ');
+    }
+    return percent_decoded(value);
+}
+
 struct store_target {
     std::vector<std::string> path_; // segments, decoded
     std::map<std::string, std::string> query_;
 };
 
 // The target of a request; none if it is malformed, which the store answers with 400.
-inline std::optional<store_target> read_store_target(std::string_view target)
+inline std::optional<store_target>
+read_store_target(std::string_view target, value_reading reading = value_reading::as_in_a_form)
 {
     const bool visible = std::all_of(target.begin(), target.end(),
                                      [](char each) { return each > ' ' && each < '\x7f'; });
@@ -47,21 +65,20 @@
         read.path_.push_back(*segment);
     }
     while (!query.empty()) {
-        std::string value{take_until(query, '&')};
-        std::replace(value.begin(), value.end(), '+', ' '); // as in a form
-        std::string_view rest = value;
-        const auto name = percent_decoded(take_until(rest, '='));
-        const auto decoded = percent_decoded(rest);
-        if (!name || !decoded) {
+        std::string_view rest = take_until(query, '&');
+        const auto name = read_value(std::string{take_until(rest, '=')}, reading);
+        const auto value = read_value(std::string{rest}, reading);
+        if (!name || !value) {
             return std::nullopt;
         }
-        read.query_[*name] = *decoded;
+        read.query_[*name] = *value;
     }
     return read;
 }
 
 // The target of a request line, with its head; none if the head is malformed.
-inline std::optional<store_target> read_store_request(std::string_view request)
+inline std::optional<store_target>
+read_store_request(std::string_view request, value_reading reading = value_reading::as_in_a_form)
 {
     std::string_view head = request.substr(0, request.find("\r\n\r\n"));
     std::string_view line = head.substr(0, head.find("\r\n"));
@@ -69,7 +86,7 @@
     take_until(line, ' ');
     const std::string_view target = take_until(line, ' ');
     const bool sound_fields = head.find(": ") != std::string_view::npos;
-    return line == "HTTP/1.1" && sound_fields ? read_store_target(target) : std::nullopt;
+    return line == "HTTP/1.1" && sound_fields ? read_store_target(target, reading) : std::nullopt;
 }
 
 inline bool is_utf8(const std::string& text)
