Skip objects of the store's lists that cannot be read

Callers saw: nothing; operators did. `savoryscale status` said that the object API does not answer while one object of another writer stood under status/, without a key, with a version that is no number, a value that is no text, or bytes that are not UTF-8. Cause: the daemons' client dropped the whole page, and with it the list, for one such object. Change: objects of a list that cannot be read are left out and counted, and status tells how many there are. A list continues after a key that is not UTF-8 in its bytes. The answer to a call for one object is unusable if that object cannot be read, as before. A negative or fractional version counts as unreadable; it was converted. Evidence: an_object_that_cannot_be_read_hides_the_others_of_a_list failed before with the first of 11 odd objects and passes now, each between others, alone on its page, and read by itself.

--- a/src/cli/lists_commands.cpp
+++ b/src/cli/lists_commands.cpp
@@ -131,6 +131,10 @@
                            is_answer(records.status_) ? "host list" : "object API");
         return std::nullopt;
     }
+    if (records.unreadable_ > 0) {
+        err << fmt::format("object API: {} objects under {} cannot be read; remove them\n",
+                           records.unreadable_, store::status_prefix);
+    }
     std::vector<store::status_record> parsed;
     for (const store::object& each : records.objects_) {
         if (auto record = store::parse_status_record(each.value_)) {
--- a/src/store/http_object_client.cpp
+++ b/src/store/http_object_client.cpp
@@ -34,7 +34,8 @@
     request.destination_ = std::move(destination);
     request.done_ = [this, call = std::move(call), so_far = std::move(so_far),
                      deadline](const http_answer& answer) mutable {
-        on_page(std::move(call), std::move(so_far), parse_answer(answer), deadline);
+        object_page page = parse_answer(answer, call.operation_);
+        on_page(std::move(call), std::move(so_far), std::move(page), deadline);
     };
     http_client_.submit(std::move(request));
 }
@@ -46,6 +47,7 @@
     record_call_result(status != call_status::not_sent && status != call_status::unknown &&
                        status != call_status::unavailable);
     so_far.status_ = status;
+    so_far.unreadable_ += page.reply_.unreadable_;
     std::move(page.reply_.objects_.begin(), page.reply_.objects_.end(),
               std::back_inserter(so_far.objects_));
     const bool more = status == call_status::ok && !page.next_.empty();
--- a/src/store/object_api.hpp
+++ b/src/store/object_api.hpp
@@ -6,6 +6,7 @@
 
 #include "base/clock.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -43,6 +44,7 @@
 struct object_reply {
     call_status status_ = call_status::unknown;
     std::vector<object> objects_;
+    std::size_t unreadable_ = 0; // objects of a list that are malformed and not in objects_
 };
 
 // One call. `done_` is run once, on the client's thread or inside submit, and must not block.
--- a/src/store/object_wire.cpp
+++ b/src/store/object_wire.cpp
@@ -1,11 +1,13 @@
 #include "store/object_wire.hpp"
 
 #include "base/percent_encoding.hpp"
+#include "store/tolerant_json.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace savoryscale::store {
@@ -67,20 +69,45 @@
     }
 }
 
-object_page parse_page(const std::string& body)
+std::optional<object> parse_object(const json& from)
+{
+    try {
+        const json& version = from.at("version");
+        if (!version.is_number_unsigned()) {
+            return std::nullopt;
+        }
+        return object{from.at("key").get<std::string>(), from.value("value", std::string{}),
+                      version.get<std::uint64_t>()};
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+object_page parse_page(const std::string& body, operation answered)
 {
     object_page page;
-    const json root = json::parse(body, nullptr, false);
+    const json root = parse_tolerantly(body);
     if (root.is_discarded()) {
         return page;
     }
     try {
         for (const json& each : root.at("objects")) {
-            page.reply_.objects_.push_back({each.at("key").get<std::string>(),
-                                            each.value("value", std::string{}),
-                                            each.at("version").get<std::uint64_t>()});
+            if (auto parsed = parse_object(each)) {
+                page.reply_.objects_.push_back(std::move(*parsed));
+            }
+            else if (answered == operation::list) {
+                ++page.reply_.unreadable_;
+            }
+            else {
+                return {};
+            }
+        }
+        const auto next = root.find("next");
+        if (next != root.end()) {
+            const auto bytes = bytes_of_unreadable_string(*next);
+            page.next_ = bytes ? *bytes : next->get<std::string>();
         }
-        page.next_ = root.value("next", std::string{});
         page.reply_.status_ = call_status::ok;
         return page;
     }
@@ -126,7 +153,7 @@
     return request;
 }
 
-object_page parse_answer(const http_answer& answer)
+object_page parse_answer(const http_answer& answer, operation answered)
 {
     object_page page;
     if (answer.outcome_ == http_outcome::not_sent) {
@@ -137,7 +164,7 @@
         return page;
     }
     if (answer.status_ == http_ok) {
-        return parse_page(answer.body_);
+        return parse_page(answer.body_, answered);
     }
     page.reply_.status_ = status_of(answer.status_);
     return page;
--- a/src/store/object_wire.hpp
+++ b/src/store/object_wire.hpp
@@ -31,7 +31,8 @@
     std::string next_; // key for the next request's `after`; empty on the last page
 };
 
-// Parses the answer. The status is unknown if the answer does not follow the protocol.
-object_page parse_answer(const http_answer& answer);
+// Parses the answer to a call. The status is unknown if the answer does not follow the protocol. An
+// object of a list that does not is counted and left out, since other programs write as well.
+object_page parse_answer(const http_answer& answer, operation answered);
 
 } // namespace savoryscale::store
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -152,6 +152,51 @@
     }
 }
 
+// Of another writer, alone on its page or between others.
+TEST(object_client, an_object_that_cannot_be_read_hides_the_others_of_a_list)
+{
+    for (const char* odd :
+         {R"({"value":"v","version":3})", R"({"key":7,"value":"v","version":3})",
+          R"({"key":"status/x","value":"v"})", R"({"key":"status/x","value":"v","version":"r3"})",
+          R"({"key":"status/x","value":"v","version":-3})",
+          R"({"key":"status/x","value":["v"],"version":3})",
+          "{\"key\":\"status/x\",\"value\":\"\xff\",\"version\":3}",
+          "{\"key\":\"status/x\xff\",\"value\":\"v\",\"version\":3}", "7", "null", "[]"}) {
+        testing::fake_upstream store{[&](testing::script_connection& connection, int) {
+            const auto object = [](const char* key) {
+                return std::string{R"({"key":"status/)"} + key + R"(","value":"v","version":2})";
+            };
+            for (std::string request = connection.read_request(); !request.empty();
+                 request = connection.read_request()) {
+                const bool lists = request.find("prefix=") != std::string::npos;
+                std::string page;
+                if (lists && request.find("after= ") != std::string::npos) {
+                    page = object("a") + "," + odd + "," + object("y") + R"(],"next":"status/y")";
+                }
+                else if (lists && request.find("after=status/y ") != std::string::npos) {
+                    page = odd + std::string{"],\"next\":\"status/y\xff\""};
+                }
+                else if (lists && request.find("after=status/y%FF ") != std::string::npos) {
+                    page = object("z") + "]";
+                }
+                else {
+                    page = odd + std::string{"]"};
+                }
+                connection.send(testing::ok_answer("{\"objects\":[" + page + "}"));
+            }
+        }};
+        http_object_client client{
+            {{"127.0.0.1", store.port()}}, {1000, milliseconds{1}, milliseconds{1}}, 5};
+        const auto all = call_and_wait(client, {operation::list, "status/", "", 0, seconds{5}, {}});
+        CHECK_TEXT(all.status_ == call_status::ok, odd);
+        LONGS_EQUAL_TEXT(3, all.objects_.size(), odd);
+        LONGS_EQUAL_TEXT(2, all.unreadable_, odd);
+        CHECK_EQUAL(std::string{"status/z"}, all.objects_.back().key_);
+        const auto one = call_and_wait(client, {operation::get, "status/x", "", 0, seconds{5}, {}});
+        CHECK_TEXT(one.status_ == call_status::unknown, odd);
+    }
+}
+
 TEST(object_client, a_call_without_a_connection_is_not_sent)
 {
     platform_.change(R"({"down": true})");
