Skip hosts of the host list that cannot be read

Callers saw: nothing new; a host that starts knows no targets and peers by the host list while one entry of it is malformed, and those that run keep an old list. Cause: the reader dropped the whole list for one entry with a member missing or of another type, or bytes that are not UTF-8. A port over 65,535 or a negative incarnation was converted instead. Change: such an entry is left out and counted; a list with no readable entry is unusable, as before. listed_hosts_refused logs the number when it changes. status shows the other hosts, names the number, and does not say that all hold the lists, since that host may not. Evidence: a_host_that_cannot_be_read_hides_the_others failed before (status not ok, first of 14 odd entries) and passes now; status_is_ok_while_a_listed_host_cannot_be_read comes with the change.

--- a/src/cli/lists_commands.cpp
+++ b/src/cli/lists_commands.cpp
@@ -131,6 +131,10 @@
                            is_answer(records.status_) ? "host list" : "object API");
         return std::nullopt;
     }
+    if (hosts.unreadable_ > 0) {
+        err << fmt::format("host list: {} hosts cannot be read; correct their entries\n",
+                           hosts.unreadable_);
+    }
     if (records.unreadable_ > 0) {
         err << fmt::format("object API: {} objects under {} cannot be read; remove them\n",
                            records.unreadable_, store::status_prefix);
@@ -144,7 +148,9 @@
             err << fmt::format("{}: {}\n", each.key_, to_string(record.error()));
         }
     }
-    return make_status_view(stored->lists_.version_, hosts.hosts_, parsed, access.now_ms_());
+    auto view = make_status_view(stored->lists_.version_, hosts.hosts_, parsed, access.now_ms_());
+    view.all_hold_ = view.all_hold_ && hosts.unreadable_ == 0;
+    return view;
 }
 
 std::string print_json(const store::status_view& view)
--- a/src/membership/control_task.cpp
+++ b/src/membership/control_task.cpp
@@ -20,6 +20,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace savoryscale::membership {
 
@@ -188,6 +189,11 @@
         if (reply.status_ != store::call_status::ok || reply.hosts_.empty()) {
             return;
         }
+        if (std::exchange(unreadable_hosts_, reply.unreadable_) != reply.unreadable_) {
+            telemetry::state_change("listed_hosts_refused",
+                                    {{"hosts", std::to_string(reply.unreadable_)}},
+                                    telemetry::severity::warning);
+        }
         apply_host_list(reply.hosts_);
         const std::string payload = peer::encode(reply.hosts_);
         if (payload == host_list_payload_ &&
@@ -657,6 +663,7 @@
     time_point next_host_list_;
     time_point host_list_published_;
     std::string host_list_payload_;
+    std::size_t unreadable_hosts_ = 0; // in the last list, for the log
     std::uint64_t host_list_version_ = 0;
     std::vector<settings::endpoint> listed_peers_;
 
--- a/src/store/host_list.hpp
+++ b/src/store/host_list.hpp
@@ -6,6 +6,7 @@
 #include "settings/settings.hpp"
 #include "store/object_api.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -35,6 +36,7 @@
 struct host_list_reply {
     call_status status_ = call_status::unknown;
     std::vector<listed_host> hosts_;
+    std::size_t unreadable_ = 0; // hosts that are malformed and not in hosts_
 };
 
 class host_list_client {
--- a/src/store/http_host_list_client.cpp
+++ b/src/store/http_host_list_client.cpp
@@ -1,7 +1,10 @@
 #include "store/http_host_list_client.hpp"
 
+#include "store/tolerant_json.hpp"
+
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -15,7 +18,18 @@
 constexpr int http_too_many_requests = 429;
 constexpr int http_unavailable = 503;
 
-// Parses one host. Returns nothing if this release does not know its kind.
+// Throws unless the member is a whole number from 0 to the maximum; get() would convert others.
+std::uint64_t unsigned_at(const json& from, const char* name, std::uint64_t max)
+{
+    const json& number = from.at(name);
+    if (!number.is_number_unsigned() || number.get<std::uint64_t>() > max) {
+        throw json::type_error::create(302, std::string{name} + " is out of range", &number);
+    }
+    return number.get<std::uint64_t>();
+}
+
+// Parses one host. Returns nothing if this release does not know its kind. Throws if the host is
+// malformed.
 std::optional<listed_host> parse_host(const json& from)
 {
     const auto kind = from.at("kind").get<std::string>();
@@ -27,8 +41,13 @@
     host.kind_ = kind == "entry" ? host_kind::entry : host_kind::target;
     host.service_ = from.value("service", std::string{});
     host.data_centre_ = from.at("data_centre").get<std::string>();
-    host.address_ = {from.at("ip").get<std::string>(), from.at("port").get<std::uint16_t>()};
-    host.incarnation_ = from.at("incarnation").get<std::uint64_t>();
+    constexpr auto port_max = std::numeric_limits<std::uint16_t>::max();
+    host.address_ = {from.at("ip").get<std::string>(),
+                     static_cast<std::uint16_t>(unsigned_at(from, "port", port_max))};
+    if (host.address_.port_ == 0) {
+        throw json::type_error::create(302, "port is 0", &from);
+    }
+    host.incarnation_ = unsigned_at(from, "incarnation", std::numeric_limits<std::uint64_t>::max());
     host.leaving_ = from.at("leaving").get<bool>();
     return host;
 }
@@ -46,22 +65,24 @@
     if (answer.status_ == http_too_many_requests || answer.status_ == http_unavailable) {
         return {call_status::unavailable, {}};
     }
-    const json root = json::parse(answer.body_, nullptr, false);
-    if (answer.status_ != http_ok || root.is_discarded()) {
+    const json root = parse_tolerantly(answer.body_);
+    const auto hosts = root.is_object() ? root.find("hosts") : root.end();
+    if (answer.status_ != http_ok || hosts == root.end()) {
         return {};
     }
     host_list_reply reply{call_status::ok, {}};
-    try {
-        for (const json& each : root.at("hosts")) {
+    for (const json& each : *hosts) {
+        try {
             if (auto host = parse_host(each)) {
                 reply.hosts_.push_back(std::move(*host));
             }
         }
-        return reply;
-    }
-    catch (const json::exception&) {
-        return {};
+        catch (const json::exception&) {
+            ++reply.unreadable_;
+        }
     }
+    const bool none_readable = reply.hosts_.empty() && reply.unreadable_ > 0;
+    return none_readable ? host_list_reply{} : reply;
 }
 
 http_host_list_client::http_host_list_client(std::vector<settings::endpoint> addresses)
--- a/src/store/http_host_list_client.hpp
+++ b/src/store/http_host_list_client.hpp
@@ -13,8 +13,9 @@
 
 namespace savoryscale::store {
 
-// Parses the answer. The status is unknown if the body is not a complete list in the protocol's
-// format. Unknown fields are ignored.
+// Parses the answer. The status is unknown if the body is not a list in the protocol's format, or
+// no host of it can be read. Otherwise malformed hosts are counted and left out, since other
+// programs write the list. Unknown fields are ignored.
 host_list_reply parse_host_list(const http_answer& answer);
 
 class http_host_list_client final : public host_list_client {
--- a/tests/lists_commands_test.cpp
+++ b/tests/lists_commands_test.cpp
@@ -147,6 +147,21 @@
     CHECK(nlohmann::json::parse(out_.str())["all_hold"].get<bool>());
 }
 
+// Nobody knows what a host holds whose entry cannot be read; the others are shown.
+TEST(lists_commands, status_is_ok_while_a_listed_host_cannot_be_read)
+{
+    apply(first_lists);
+    report("m", now_ms, {{"e1", 1, ""}});
+    platform_.change(R"({"hosts": [{"id": "odd", "kind": "entry"},
+        {"id": "e1", "kind": "entry", "data_centre": "m", "ip": "127.0.0.1", "port": 1,
+         "incarnation": 1, "leaving": false}]})");
+    LONGS_EQUAL(exit_failure, status());
+    STRCMP_CONTAINS("m: 1 of 1 hosts hold it", out_.str().c_str());
+    STRCMP_CONTAINS("host list: 1 hosts cannot be read", err_.str().c_str());
+    list_hosts({"e1"});
+    LONGS_EQUAL(exit_ok, status());
+}
+
 TEST_GROUP(status_view)
 {
     const std::vector<store::listed_host> hosts_{
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -278,6 +278,31 @@
     CHECK(reply.hosts_.at(0) == expected);
 }
 
+TEST(host_list_client, a_host_that_cannot_be_read_hides_the_others)
+{
+    const std::string sound = R"({"id":"e1","kind":"entry","data_centre":"m","ip":"127.0.0.1",)"
+                              R"("port":7,"incarnation":3,"leaving":false})";
+    const auto with = [&](const std::string& from, const std::string& to) {
+        return std::string{sound}.replace(sound.find(from), from.size(), to);
+    };
+    for (const std::string& odd :
+         {with("\"e1\"", "\"e\xff\""), with("\"e1\"", "7"), with(R"("ip":"127.0.0.1",)", ""),
+          with("\"entry\"", "null"), with(":7,", R"(:"7",)"), with(":7,", ":65543,"),
+          with(":7,", ":0,"), with(":7,", ":-1,"), with(":3,", ":-3,"), with(":3,", ":3.5,"),
+          with("false", "0"), std::string{"7"}, std::string{"null"}, std::string{"[]"}}) {
+        const testing::fake_upstream platform{[&](testing::script_connection& connection, int) {
+            connection.read_request();
+            connection.send(
+                testing::ok_answer("{\"hosts\":[" + odd + "," + sound + "," + odd + "]}"));
+        }};
+        http_host_list_client client{{{"127.0.0.1", platform.port()}}};
+        const auto reply = fetch_and_wait(client, seconds{5});
+        CHECK_TEXT(reply.status_ == call_status::ok, odd.c_str());
+        LONGS_EQUAL_TEXT(1, reply.hosts_.size(), odd.c_str());
+        CHECK_EQUAL(std::string{"e1"}, reply.hosts_.front().id_);
+    }
+}
+
 TEST(host_list_client, returns_an_older_list_while_the_platform_lags)
 {
     platform_.change(R"({"host_lag_ms": 3600000})");
