Read pages of the store whose text is escaped

Callers saw: with 250 entries of another writer, 1 MB together, whose text a store escapes in JSON (\u0001 for one byte), a host that starts serves nobody. Cause: the buffer of an answer was 2 MiB. A page of one megabyte of objects is up to six times as long when escaped; the answer was given up, each time. Change: the buffer may grow to 8 MiB. Evidence: a_page_of_escaped_text_hides_the_other_targets failed before (14 targets not reached in 6 s) and passes now, in 0.1 s.

--- a/src/directory/follower.cpp
+++ b/src/directory/follower.cpp
@@ -22,8 +22,9 @@
 // Timeout of a call, in addition to the requested wait.
 constexpr duration answer_timeout = 1500ms;
 
-// A page of a list holds at most one megabyte of objects plus its envelope.
-constexpr std::size_t answer_max_bytes = std::size_t{2} << 20U;
+// A page of a list holds at most one megabyte of objects plus its envelope. Escaped in JSON, a byte
+// of their text takes up to six.
+constexpr std::size_t answer_max_bytes = std::size_t{8} << 20U;
 
 constexpr int http_ok = 200;
 constexpr int http_too_many_requests = 429;
--- a/tests/store_names_test.cpp
+++ b/tests/store_names_test.cpp
@@ -342,6 +342,18 @@
     }
 }
 
+// A page of one megabyte of objects is up to six where its text is escaped.
+TEST(store_names, a_page_of_escaped_text_hides_the_other_targets)
+{
+    put_targets(7, "a");
+    put_targets(7, "z");
+    for (int i = 0; i < 250; ++i) {
+        store.put("servers", fmt::format("x-{}", i), {{"note", std::string(4000, '\x01')}});
+    }
+    running_routed_host host{store.port()};
+    CHECK(host.reaches(1, 14, "photos"));
+}
+
 // A CR LF in the id ends the field that names the expected instance.
 TEST(store_names, the_name_of_an_entry_adds_a_field_to_the_requests_of_its_target)
 {
