Run the soak with stores that read names in three ways

Cause: the soak's store decoded names as a form does, so that no seed met the list that never ends where names are read as they stand. Change: by the seed, values in a query are decoded as in a form, percent-decoded only, or taken as they stand.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -25,7 +25,8 @@
 
 from callers import Callers
 from terms import EVACUATION_S, OVERAGE, SLACK, WINDOW_S, Terms
-from world import FOREIGN_NAMES, IP, KILLER_PATH, Proxy, Store, Target, message, read_message
+from world import (FOREIGN_NAMES, IP, KILLER_PATH, QUERY_READINGS, Proxy, Store, Target, message,
+                   read_message)
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SEEDS = ROOT / "soak" / "seeds.txt"
@@ -113,7 +114,7 @@
         self.seed, self.options = seed, options
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.loop = asyncio.get_running_loop()
-        self.store = Store(options.base_port + PORTS - 1)
+        self.store = Store(options.base_port + PORTS - 1, QUERY_READINGS[seed % len(QUERY_READINGS)])
         self.hosts = []
         self.hosts += [Host(number, self) for number in range(options.hosts)]
         self.targets = []
--- a/soak/world.py
+++ b/soak/world.py
@@ -16,6 +16,8 @@
 PAGE = 4  # objects on a page of a list
 # Entries of another writer: the first two pages of the list, and others among those of targets ("t0-1").
 FOREIGN_NAMES = ["a\r\nX-Injected: 1", "a b", "a#b", "a#c", "a%41", "a&b", "a+b", "a/b", "t0#1", "t1 ", "t3?", "\u00e4"]
+# How a store may read a value in a query: as in a form, percent-decoded only, or as it stands.
+QUERY_READINGS = [urllib.parse.unquote_plus, urllib.parse.unquote, str]
 HEARTBEAT_S = 0.5  # between two writes of a target's entry
 KILLER_PATH = "/sell/killer-"  # crashes each target that begins to run it
 EXPIRY_HEARTBEATS = 3  # missed heartbeats after which the entry of a target is removed
@@ -106,8 +108,9 @@
 class Store:
     """The object store: lists, watches, and a change history that can be compacted."""
 
-    def __init__(self, port):
+    def __init__(self, port, read_value=QUERY_READINGS[0]):
         self.port = port
+        self.read_value = read_value
         self.revision = 1
         self.objects = {"config": {}, "servers": {}, "evacuations": {}, "suspicions": {}}
         self.log = []
@@ -222,7 +225,8 @@
         if named:
             known = self.objects.get(kind, {}).get(named[0])
             return (200, known) if known else (404, {})
-        parameters = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        pairs = (pair.partition("=") for pair in query.split("&"))
+        parameters = {name: self.read_value(value) for name, _, value in pairs}
         if "watch" not in parameters:
             known = self.objects.get(kind, {})
             names = sorted(name for name in known if name > parameters.get("after", ""))
--- a/tests/soak_store_test.py
+++ b/tests/soak_store_test.py
@@ -13,7 +13,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "soak"))
 
-from world import FOREIGN_NAMES, Store  # noqa: E402
+from world import FOREIGN_NAMES, QUERY_READINGS, Store  # noqa: E402
 
 KIND = "notes"
 PATH = f"/api/v1/{KIND}"
@@ -71,6 +71,17 @@
 
         asyncio.run(play())
 
+    def test_a_name_is_read_in_each_way(self):
+        async def pages_after(read_value):
+            store = Store(0, read_value)
+            for name in ("a%20b", "a b", "a+b"):
+                await store.put(KIND, name, {})
+            pages = [await store.answer(f"{PATH}?after={sent}") for sent in ("a%20b", "a+b")]
+            return [[item["metadata"]["name"] for item in page["items"]] for _, page in pages]
+
+        read = [asyncio.run(pages_after(read_value)) for read_value in QUERY_READINGS]
+        self.assertEqual(read, [[["a%20b", "a+b"], ["a%20b", "a+b"]], [["a%20b", "a+b"], []], [["a+b"], []]])
+
     def test_a_write_bound_to_another_revision_changes_nothing(self):
         async def play():
             store = Store(0)
