--- a/src/directory/follow.hpp
+++ b/src/directory/follow.hpp
@@ -40,7 +40,7 @@
     std::string after_;                         // the next page begins after this name
     std::set<std::string> continued_after_;     // names that were after_ since the list began
     bool skips_odd_names_ = false;              // this list continues after plain names only
-    std::string unlisted_name_;                 // the list continued after it without listing it
+    std::string unlisted_name_;                 // of an object to read before the next page
     std::vector<stored_object> listed_objects_; // from the pages so far, or of a stale list
     bool has_stale_list_ = false;               // listed_objects_ is a complete list, held back
     std::uint64_t oldest_revision_ = 0;         // of the pages so far
--- a/src/store/http_host_list_client.cpp
+++ b/src/store/http_host_list_client.cpp
@@ -18,14 +18,18 @@
 constexpr int http_too_many_requests = 429;
 constexpr int http_unavailable = 503;
 
-// Throws unless the member is a whole number from 0 to the maximum; get() would convert others.
-std::uint64_t unsigned_at(const json& from, const char* name, std::uint64_t max)
+// Throws unless the member is a whole number of the type and at least `min`; get() alone would
+// convert others.
+template<typename Number>
+Number unsigned_at(const json& from, const char* name, Number min)
 {
-    const json& number = from.at(name);
-    if (!number.is_number_unsigned() || number.get<std::uint64_t>() > max) {
-        throw json::type_error::create(302, std::string{name} + " is out of range", &number);
+    const json& value = from.at(name);
+    const auto number = value.is_number_unsigned() ? value.get<std::uint64_t>() : 0;
+    if (!value.is_number_unsigned() || number < min ||
+        number > std::numeric_limits<Number>::max()) {
+        throw json::type_error::create(302, std::string{name} + " is out of range", &value);
     }
-    return number.get<std::uint64_t>();
+    return static_cast<Number>(number);
 }
 
 // Parses one host. Returns nothing if this release does not know its kind. Throws if the host is
@@ -41,13 +45,8 @@
     host.kind_ = kind == "entry" ? host_kind::entry : host_kind::target;
     host.service_ = from.value("service", std::string{});
     host.data_centre_ = from.at("data_centre").get<std::string>();
-    constexpr auto port_max = std::numeric_limits<std::uint16_t>::max();
-    host.address_ = {from.at("ip").get<std::string>(),
-                     static_cast<std::uint16_t>(unsigned_at(from, "port", port_max))};
-    if (host.address_.port_ == 0) {
-        throw json::type_error::create(302, "port is 0", &from);
-    }
-    host.incarnation_ = unsigned_at(from, "incarnation", std::numeric_limits<std::uint64_t>::max());
+    host.address_ = {from.at("ip").get<std::string>(), unsigned_at<std::uint16_t>(from, "port", 1)};
+    host.incarnation_ = unsigned_at<std::uint64_t>(from, "incarnation", 0);
     host.leaving_ = from.at("leaving").get<bool>();
     return host;
 }
