Take a malformed call in the tests of odd names as a failure again

Cause: since the reader in these tests repeats a call that the store refuses, also where the call itself is malformed; they would have passed over a name that is sent as it is. Change: only a store that refuses encoded values is called again.

--- a/tests/store_names_test.cpp
+++ b/tests/store_names_test.cpp
@@ -66,10 +66,13 @@
     for (int i = 0; i < calls_max; ++i) {
         const auto target = read_store_target(
             platform::dialect().call_path_("servers", next_call(state, {})), reading);
-        if (!target) {
+        if (!target && reading == value_reading::refused_if_encoded) {
             directory::on_call_failed(state, {}, random);
             continue;
         }
+        if (!target) {
+            return {};
+        }
         if (target->path_.size() > 3) {
             const auto found = objects.find(target->path_[3]);
             std::optional<directory::stored_object> object;
@@ -200,15 +203,8 @@
 TEST(store_names, a_list_that_returns_to_other_pages_lacks_usable_names)
 {
     named_objects objects;
-    for (const char* name : {"!", "a", "b", "c", "d",
-                             "\xc3\xa9"
-                             "1",
-                             "\xc3\xa9"
-                             "2",
-                             "\xc3\xa9"
-                             "3",
-                             "\xc3\xa9"
-                             "4"}) {
+    for (const char* name :
+         {"!", "a", "b", "c", "d", "\xc3\xa9-1", "\xc3\xa9-2", "\xc3\xa9-3", "\xc3\xa9-4"}) {
         objects[name] = object_of(server_json(1000));
     }
     const auto read = targets_read(objects, 3, value_reading::as_it_stands);
