Refuse connections at once when a test's relay cuts its path

It is a fault of the tests' relay, not of the product. Change: the relay shuts the socket down before it closes it, and its accept() doesn't wait. The test lets the relay poll first, so that the failure no longer depends on timing.

--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -7,10 +7,13 @@
 #include <CppUTest/TestHarness.h>
 
 #include <cerrno>
+#include <chrono>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace savoryscale::testing;
+using namespace std::chrono_literals;
 using savoryscale::tests::path_cut;
 using savoryscale::tests::relay;
 
@@ -41,6 +44,7 @@
 TEST(relay, the_port_of_a_path_that_refuses_stays_its_own)
 {
     for (const path_cut cut : {path_cut::reset, path_cut::refuse_new}) {
+        std::this_thread::sleep_for(30ms); // the relay waits for connections meanwhile
         path.set_cut(cut);
         LONGS_EQUAL(ECONNREFUSED, error_of(connect, path.port()));
         LONGS_EQUAL(EADDRINUSE, error_of(bind, path.port()));
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -31,7 +31,7 @@
 // taken.
 int bound_socket(std::uint16_t port)
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     const int yes = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
     const sockaddr_in address = loopback(port);
@@ -73,6 +73,7 @@
     cut_ = cut;
     const bool accepts = cut == path_cut::none || cut == path_cut::silent;
     if (!accepts && listener_ >= 0) {
+        shutdown(listener_, SHUT_RDWR); // poll() in the other thread keeps a closed one open
         close(listener_);
         listener_ = -1;
     }
@@ -111,6 +112,9 @@
 void relay::accept_one()
 {
     const int client = accept(listener_, nullptr, nullptr);
+    if (client < 0) {
+        return; // polled under the number of this listener was the one before
+    }
     const int server = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address = loopback(to_port_);
     if (connect(server, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
