--- a/review/kit3.py
+++ b/review/kit3.py
@@ -391,6 +391,6 @@
         sys.exit(NOT_RUN)
     try:
         sys.exit(asyncio.run(case()))
-    except (OSError, RuntimeError) as failed:
+    except Exception as failed:  # any fault of the case itself is no verdict
         print(f"the case could not run: {failed}")
         sys.exit(NOT_RUN)
