--- a/review/kit3.py
+++ b/review/kit3.py
@@ -193,6 +193,7 @@
         self.arrivals = []  # (attempt id, time)
         self.finished = {}  # attempt id: time at which its answer was written
         self.writers, self.server, self.ended = set(), None, False
+        self.leaving = False  # its status check fails then
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, IP, self.port, backlog=512)
@@ -227,7 +228,7 @@
                   "Savoryscale-Instance-Load": f"{min(self.running, self.slots)},{max(0, self.running - self.slots)},"
                                                f"{self.slots},100"}
         if request[0].split(" ")[1] == "/health":
-            writer.write(message("HTTP/1.1 200 OK", fields))
+            writer.write(message("HTTP/1.1 503 No" if self.leaving else "HTTP/1.1 200 OK", fields))
             return
         attempt = request[1]["savoryscale-attempt-id"]
         fields["Savoryscale-Attempt-Id"] = attempt
@@ -291,6 +292,39 @@
             return False
 
 
+class Proxy:
+    """Passes bytes on between two hosts. While it is cut, bytes in both directions are held up and new connections hang."""
+
+    def __init__(self, ip, to):
+        self.ip, self.to, self.port, self.cut = ip, to, free_ports(1)[0], False
+
+    async def start(self):
+        await asyncio.start_server(self.accept, self.ip, self.port, backlog=256)
+
+    async def pass_on(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                while self.cut:
+                    await asyncio.sleep(0.01)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def accept(self, reader, writer):
+        try:
+            while self.cut:
+                await asyncio.sleep(0.01)
+            far_reader, far_writer = await asyncio.open_connection(*self.to)
+            await asyncio.gather(self.pass_on(reader, far_writer), self.pass_on(far_reader, writer))
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+
+
 class World:
     """Store, hosts and consumers of one case, and its record."""
 
